--- /dev/null
+++ b/oakkeel/policy.py
@@ -0,0 +1,507 @@
+"""Every decision of an oakkeel node.
+
+How it is invoked: a front makes one `Keel` for each node (host, limits, seed, clock), calls `arrive`, `run_done`,
+`at_call`, `call_done`, `gone`, `leave` and `timer` for what happens, and `settle` once after all that happened at
+one moment. What the node shall do goes out through `Host`. The types and `Host` are in `oakkeel/interface.py`; why
+each rule is as it is stands in `docs/design.md`. Times are whole nanoseconds, memory is in kilobytes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import IntEnum
+from heapq import heappop, heappush
+from random import Random
+
+from oakkeel.interface import (AdviceKind, Below, Effect, Exchange, Gauges, Host, NodeLimits, Outcome, State,
+                               StopKind)
+
+MS = 1_000_000
+SECOND = 1000 * MS
+
+
+class Stage(IntEnum):
+    """The rungs of the ladder."""
+    NORMAL = 0
+    EXPAND = 1
+    REAP = 2
+    REORDER = 3
+    BACKPRESSURE = 4
+    REJECT = 5
+
+
+# The ladder. A row's n-th figure enters the n-th stage after NORMAL; a stage is left below it less the slack.
+POLL = SECOND
+CPU = (0.70, 0.80, 0.85, 0.90, 0.95)        # busy share of the cores
+CPU_SLACK = 0.05
+CPU_QUEUE = (0.0, 0.0, 1.0, 1.0, 3.0)       # a CPU stage acts only while the depth exceeds this
+DEPTH = (0.75, 1.0, 1.5, 2.25, 3.0)         # exchanges in the hold and on the cores, for each core
+DEPTH_SLACK = 0.25
+LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
+LATENCY_SLACK = 0.1
+DELAY = 50 * MS                             # the wait at BACKPRESSURE
+RETRY_AFTER = 250 * MS
+# How many run: exchanges on the cores for each core, below EXPAND and from it on.
+RUN = (1.0, 1.34)
+CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores at once
+MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest takes what one batch may bring
+HOLD_ROOM = 0.95
+# Calls below.
+CALL_ROOM = 0.9                             # of the share of what lies below
+CALL_TIME = 0.25                            # of the SLO time, for one call
+CALL_TRIES = 3
+BREAK_AFTER = 5                             # failures in a row
+TRIAL_EVERY = SECOND
+ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
+DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
+SLO_ROOM = 5 * MS
+RING_STEP = 500 * MS
+RING_SIZE = 8
+POLL_TOKEN = 0
+
+# Which states may follow each.
+NEXT = {State.READ: {State.DELAYED, State.HELD, State.SHARING, State.OVER},
+        State.DELAYED: {State.HELD, State.OVER},
+        State.HELD: {State.RUNNING, State.OVER},
+        State.SHARING: {State.OVER},
+        State.RUNNING: {State.AT_CALL, State.ORPHANED, State.HELD, State.OVER},
+        State.AT_CALL: {State.CALLING, State.RUNNING, State.ENDING, State.OVER},
+        State.CALLING: {State.AT_CALL, State.RUNNING, State.ENDING, State.OVER},
+        State.ORPHANED: {State.ENDING, State.OVER},
+        State.ENDING: {State.OVER},
+        State.OVER: set()}
+
+
+class Ring:
+    """Sums and counts over the last few seconds, in buckets of time that are used again."""
+
+    __slots__ = ("sums", "counts", "marks")
+
+    def __init__(self) -> None:
+        self.sums = [0.0] * RING_SIZE
+        self.counts = [0] * RING_SIZE
+        self.marks = [0] * RING_SIZE
+
+    def add(self, now: int, value: float) -> None:
+        mark = now // RING_STEP
+        place = mark % RING_SIZE
+        if self.marks[place] != mark:
+            self.marks[place], self.sums[place], self.counts[place] = mark, 0.0, 0
+        self.sums[place] += value
+        self.counts[place] += 1
+
+    def total(self, now: int) -> tuple[float, int]:
+        oldest = now // RING_STEP - RING_SIZE
+        live = [place for place in range(RING_SIZE) if self.marks[place] > oldest]
+        return sum(self.sums[place] for place in live), sum(self.counts[place] for place in live)
+
+    def mean(self, now: int, otherwise: float) -> float:
+        total, count = self.total(now)
+        return total / count if count else otherwise
+
+
+def climb(stage: int, value: float, row: tuple[float, ...], slack: float) -> int:
+    """Up to the highest stage whose threshold is reached; down only below a threshold less its slack."""
+    while stage < Stage.REJECT and value >= row[stage]:
+        stage += 1
+    while stage > Stage.NORMAL and value < row[stage - 1] - slack:
+        stage -= 1
+    return stage
+
+
+def place(value: float, row: tuple[float, ...]) -> float:
+    """Where a signal stands between REORDER (0) and REJECT (1)."""
+    return min(1.0, max(0.0, (value - row[2]) / (row[4] - row[2])))
+
+
+class Keel:
+    """The decisions of one node, from its start to its end."""
+
+    def __init__(self, host: Host, limits: NodeLimits, seed: int, now: int) -> None:
+        self.host, self.limits, self.now, self.started = host, limits, now, now
+        self.chance = Random(seed).random
+        self.gauges = Gauges()
+        self.cpu_stage = self.depth_stage = self.latency_stage = Stage.NORMAL
+        self.count = [0] * len(State)
+        factor = limits.run_factor
+        self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state, over the held
+        self.memory_kb = 0.0
+        self.hold: list[tuple[float, int, int, Exchange]] = []
+        self.order = 0
+        self.keys: list[tuple[int, int]] = []                   # when the memory of a kept key is free
+        self.alarms: dict[int, list[Exchange]] = {}
+        self.stop_at = self.grace_end = 0                       # set by the notice to leave
+        self.latency = Ring()                                   # time to completion over the SLO time
+        self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
+        self.span = [group.slo_time / 6 for group in limits.groups]
+        self.usual_left: dict[tuple[int, int], int] = {}        # longest wait seen, by caller and endpoint group
+        tenants = max(1, len(limits.tenants))
+        self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
+        self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]    # place among the asked, and its breadth
+        self.calls_time = Ring()                                # call time spent, for the share of what lies below
+        self.calls_booked = 0
+        self.calls_failed = 0
+        self.trial_at = 0
+        self.trial: Exchange | None = None
+        self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
+        self.advice = -1.0
+        host.set_health(True, True)                             # from store: a real check costs work
+        if limits.cold:
+            self._advise()
+        host.set_timer(POLL_TOKEN, now + int(POLL * (0.5 + self.chance() / 2)))
+
+    # The ordinary path.
+
+    def arrive(self, now: int, ex: Exchange) -> None:
+        """An exchange was read: share, deny, hold back or admit it."""
+        self.now = ex.arrived = ex.since = now
+        group, limits = ex.group, self.limits
+        tenant = ex.tenant.index if ex.tenant else 0
+        # Its times. A shorter wait than the caller's usual one tells how long the exchange has been under way.
+        left = ex.left or max(0, group.async_timeout - ex.backlog)
+        usual = self.usual_left.get((ex.caller, group.index), 0)
+        if left + ex.backlog > usual:
+            self.usual_left[ex.caller, group.index] = usual = left + ex.backlog
+        ex.due = now + left
+        ex.slo_end = now + group.slo_time - max(ex.backlog, usual - left)
+        ex.give_up_at = ex.due - DUE_ROOM if group.late_share else min(ex.due - DUE_ROOM, ex.slo_end - SLO_ROOM)
+        if not ex.marked_retry:
+            self.asked[group.index][tenant].add(now, 1)
+        below, breadth = self.ranks[group.index][tenant]
+        ex.rank = below + breadth * self.chance()
+        # One that repeats another takes its result: no second effect, and a twentieth of the work.
+        if ex.repeats and (group.effect is not Effect.REPEATABLE or limits.fresh):
+            self._move(ex, State.SHARING)
+            self.host.share(ex)
+            return self._alarm(ex, ex.give_up_at)
+        if self.grace_end and now - ex.backlog > self.grace_end - DUE_ROOM or ex.give_up_at <= now:
+            return self._deny(ex)
+        if self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM:
+            return self._deny(ex)
+        # The ladder.
+        depth = self._depth()
+        self.depth_stage = climb(self.depth_stage, depth, DEPTH, DEPTH_SLACK)
+        stage = max(self.depth_stage, self.latency_stage)
+        if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
+            stage = max(stage, self.cpu_stage)
+        if stage == Stage.REJECT or now + self._expected(group.index) > ex.slo_end:
+            return self._deny(ex)
+        if stage >= Stage.REORDER and ex.rank < self._cut(depth):
+            return self._deny(ex)
+        if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
+            self._remember(ex)
+        self._alarm(ex, ex.give_up_at)
+        if stage == Stage.BACKPRESSURE:
+            self._move(ex, State.DELAYED)
+            self._alarm(ex, now + DELAY)
+        else:
+            self._admit(ex)
+
+    def settle(self, now: int) -> None:
+        """After all that came in at one moment: place the calls that can be, start what may run."""
+        self.now = now
+        while self.waiting and self._place_call(self.waiting[0]):
+            self.waiting.popleft()
+        limits, count = self.limits, self.count
+        run = RUN[self._stage() >= Stage.EXPAND] * limits.cores
+        crowd = self._crowd()
+        while self.hold:
+            _, _, _, ex = self.hold[0]
+            if ex.state is not State.HELD:
+                heappop(self.hold)
+                continue
+            on_cores = count[State.RUNNING] + count[State.ORPHANED]
+            more = ex.memory_kb * (limits.run_factor - 1)
+            if (on_cores >= run or on_cores + count[State.AT_CALL] + count[State.CALLING] + 1 > crowd
+                    or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
+                break
+            heappop(self.hold)
+            if ex.group.effect is not Effect.REPEATABLE and ex.ran:
+                self._give_up(ex)
+                continue
+            self._move(ex, State.RUNNING)
+            self.host.run(ex)
+
+    def _admit(self, ex: Exchange) -> None:
+        self._move(ex, State.HELD)
+        self.order += 1
+        heappush(self.hold, (ex.slo_end, self.order, 0, ex))
+
+    # What the ladder goes by.
+
+    def _depth(self) -> float:
+        """In the hold and on the cores, for each core; those at calls have a bound of their own."""
+        count = self.count
+        return (count[State.DELAYED] + count[State.HELD] + count[State.RUNNING]
+                + count[State.ORPHANED]) / self.limits.cores
+
+    def _stage(self) -> int:
+        return max(self.cpu_stage, self.depth_stage, self.latency_stage)
+
+    def _cut(self, depth: float) -> float:
+        """The rank below which an exchange is low: it rises with the signals from REORDER to REJECT."""
+        return max(place(depth, DEPTH), place(self.latency.mean(self.now, 0.0), LATENCY))
+
+    def _expected(self, group: int) -> int:
+        """How long an exchange of the group would take, behind what is held."""
+        span = sum(self.span) / len(self.span)
+        held = self.count[State.HELD] + self.count[State.DELAYED]
+        return int(self.span[group] + span * held / (RUN[1] * self.limits.cores))
+
+    def _warmth(self) -> float:
+        """The least share of full speed that the node may have by now."""
+        limits = self.limits
+        if not limits.cold or not limits.cold_time:
+            return 1.0
+        return min(1.0, limits.cold_from + (1 - limits.cold_from) * (self.now - self.started) / limits.cold_time)
+
+    def _crowd(self) -> float:
+        """How many may run or be at calls: all may come back to the cores at once."""
+        limits = self.limits
+        return (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
+
+    # Answers.
+
+    def _deny(self, ex: Exchange) -> None:
+        """Answer at once, with when to come back."""
+        self.host.deny(ex, ex.marked_retry, min(RETRY_AFTER, self.limits.max_retry_after))
+        if ex.kept:
+            ex.kept = False
+            self.host.forget(ex)
+        self._move(ex, State.OVER)
+
+    def _give_up(self, ex: Exchange) -> None:
+        """Answer at once what can no longer be in time, and stop its work where the host can."""
+        state = ex.state
+        if state in (State.ORPHANED, State.ENDING, State.OVER):
+            return
+        if state in (State.READ, State.DELAYED, State.HELD) and not (ex.ran and self._once(ex)):
+            return self._deny(ex)
+        if self._once(ex):
+            self.host.terminate(ex)
+        else:
+            self.host.deny(ex, True, min(RETRY_AFTER, self.limits.max_retry_after))
+        if state is State.RUNNING:
+            self._move(ex, State.ORPHANED)
+            if self.limits.stop_kind is not StopKind.NONE:
+                self.host.stop(ex)
+        elif state in (State.AT_CALL, State.CALLING):
+            self._end_call(ex, self.limits.call_linger)
+            self._move(ex, State.ENDING)
+        else:
+            self._move(ex, State.OVER)
+
+    @staticmethod
+    def _once(ex: Exchange) -> bool:
+        return ex.group.effect is not Effect.REPEATABLE
+
+    def _move(self, ex: Exchange, state: State) -> None:
+        """The one place where an exchange changes its state."""
+        old = ex.state
+        if state not in NEXT[old]:
+            raise RuntimeError(f"an exchange can't go from {old.name} to {state.name}")
+        if old is State.RUNNING:
+            ex.on_cores += self.now - ex.since
+        if state is State.RUNNING:
+            ex.ran = True
+        self.count[old] -= 1
+        self.count[state] += 1
+        self.memory_kb += ex.memory_kb * (self.weight[state] - self.weight[old])
+        ex.state, ex.since = state, self.now
+
+    def _remember(self, ex: Exchange) -> None:
+        """Keep its key: through its time and as long after as its answer may serve."""
+        duration = ex.group.window if self._once(ex) else max(0, ex.give_up_at - self.now) + self.limits.fresh
+        self.host.remember(ex, duration)
+        ex.kept = True
+        self.memory_kb += self.limits.key_kb
+        heappush(self.keys, (self.now + duration, 0))
+
+    # What the host tells.
+
+    def run_done(self, now: int, ex: Exchange, outcome: Outcome, latency: int) -> None:
+        """A run or a share is over."""
+        self.now = now
+        state = ex.state
+        if state is State.OVER or outcome is Outcome.MOOT:
+            return
+        if state in (State.AT_CALL, State.CALLING):
+            self._end_call(ex, 0)
+        if outcome is Outcome.STOPPED and state is State.RUNNING:
+            self._move(ex, State.HELD)          # stopped, but not answered: it must not stay without an answer
+            return self._give_up(ex)
+        self._move(ex, State.OVER)
+        if outcome is Outcome.COMPLETED and state is State.RUNNING:
+            self.spans[ex.group.index].add(now, ex.on_cores)
+            self.latency.add(now, (now - ex.arrived + ex.backlog) / ex.group.slo_time)
+
+    def gone(self, now: int, ex: Exchange) -> None:
+        """Nobody waits for it any more."""
+        self.now = now
+        state = ex.state
+        if state is State.RUNNING:
+            self._move(ex, State.ORPHANED)
+            if self.limits.stop_kind is not StopKind.NONE:
+                self.host.stop(ex)
+        elif state in (State.AT_CALL, State.CALLING):
+            self._end_call(ex, self.limits.call_linger)
+            self._move(ex, State.ENDING)
+        elif state not in (State.ORPHANED, State.ENDING, State.OVER):
+            self._move(ex, State.OVER)
+
+    def leave(self, now: int, left: int) -> None:
+        """The notice to leave: finish what can be before the stop, answer the rest just before it."""
+        self.now = now
+        self.grace_end = now + self.limits.drain_grace
+        self.stop_at = now + left
+        self.host.set_health(False, True)
+        self._advise()
+        for step in sorted(self.alarms):
+            for ex in self.alarms[step]:
+                if ex.give_up_at > self.stop_at - 4 * ALARM_STEP:
+                    ex.give_up_at = self.stop_at - 4 * ALARM_STEP
+                    self._alarm(ex, ex.give_up_at)
+
+    def timer(self, now: int, token: int, gauges: Gauges) -> None:
+        """The poll of the ladder, or a step of alarms."""
+        self.now = now
+        if token != POLL_TOKEN:
+            for ex in self.alarms.pop(token, ()):
+                self._ring(ex)
+            return
+        self.gauges = gauges
+        self.cpu_stage = climb(self.cpu_stage, gauges.core_busy, CPU, CPU_SLACK)
+        self.latency_stage = climb(self.latency_stage, self.latency.mean(now, 0.0), LATENCY, LATENCY_SLACK)
+        self.depth_stage = climb(self.depth_stage, self._depth(), DEPTH, DEPTH_SLACK)
+        self.span = [ring.mean(now, self.span[index]) for index, ring in enumerate(self.spans)]
+        while self.keys and self.keys[0][0] <= now:
+            heappop(self.keys)
+            self.memory_kb -= self.limits.key_kb
+        self._set_ranks()
+        self._advise()
+        self.host.set_timer(POLL_TOKEN, now + POLL)
+
+    def _alarm(self, ex: Exchange, at: int) -> None:
+        """Look at the exchange again at a time: one timer serves all alarms of a step."""
+        step = max(at // ALARM_STEP, self.now // ALARM_STEP + 1)
+        if step not in self.alarms:
+            self.alarms[step] = []
+            self.host.set_timer(step, step * ALARM_STEP)
+        self.alarms[step].append(ex)
+
+    def _ring(self, ex: Exchange) -> None:
+        if self.now + ALARM_STEP > ex.give_up_at:
+            self._give_up(ex)
+        elif ex.state is State.DELAYED:
+            if self.depth_stage == Stage.REJECT:
+                self._deny(ex)
+            else:
+                self._admit(ex)
+
+    def _set_ranks(self) -> None:
+        """Each endpoint group and tenant gets its place among what is asked of this node, the least benefit first."""
+        limits, now, rows = self.limits, self.now, []
+        for tenant in range(len(self.asked[0])):
+            counts = [rings[tenant].total(now)[1] for rings in self.asked]
+            rate = sum(counts) * SECOND / (RING_SIZE * RING_STEP)
+            allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
+            within = min(1.0, allowance / rate) if rate and allowance else 1.0
+            worth = within + (1 - within) * limits.over_share
+            rows += [(group.benefit * worth, group.index, tenant, counts[group.index]) for group in limits.groups]
+        rows.sort()
+        total = sum(row[3] for row in rows) or 1
+        below = 0
+        for _, group, tenant, number in rows:
+            self.ranks[group][tenant] = (below / total, number / total)
+            below += number
+
+    def _advise(self) -> None:
+        """Tell callers how much to send, in the meaning that they give to the value."""
+        kind = self.limits.advice
+        if kind is AdviceKind.SILENT:
+            return
+        cut = 1.0 if self.stop_at else self._cut(self._depth())
+        if kind is AdviceKind.LEVEL:
+            value = cut
+        elif kind is AdviceKind.SHARE:
+            value = max(0.05, self._warmth() * (1 - cut))
+        else:
+            value = max(1.0, DEPTH[4] * self.limits.cores * (1 - cut))
+        if value != self.advice:
+            self.advice = value
+            self.host.advise(value)
+
+    # Calls below.
+
+    def at_call(self, now: int, ex: Exchange) -> None:
+        """A run can't go on without a call."""
+        self.now = now
+        if ex.state is State.ORPHANED:
+            return self._move(ex, State.ENDING)
+        if ex.state is State.RUNNING:
+            self._move(ex, State.AT_CALL)
+            self._try_call(ex)
+
+    def call_done(self, now: int, ex: Exchange, outcome: Outcome, latency: int) -> None:
+        """A call came back: go on, try again, leave it out, or give the exchange up."""
+        self.now = now
+        if ex.state is not State.CALLING:
+            return
+        self._end_call(ex, self.limits.call_linger if outcome is Outcome.GIVEN_UP else 0)
+        if outcome is Outcome.COMPLETED:
+            self.calls_failed = 0
+            return self._move(ex, State.RUNNING)
+        self.calls_failed += 1
+        self.trial_at = now + TRIAL_EVERY
+        ex.calls_failed += 1
+        self._move(ex, State.AT_CALL)
+        never_ran = outcome in (Outcome.DENIED, Outcome.UNREACHED, Outcome.MOOT)
+        if ex.calls_failed < CALL_TRIES and (never_ran or not self._once(ex)) and not ex.group.skip_share:
+            self._try_call(ex)
+        elif ex.group.skip_share:
+            self._leave_out(ex)
+        else:
+            self._give_up(ex)
+
+    def _try_call(self, ex: Exchange) -> None:
+        if not self._place_call(ex):
+            if ex.group.skip_share:
+                self._leave_out(ex)
+            else:
+                self.waiting.append(ex)
+
+    def _leave_out(self, ex: Exchange) -> None:
+        self.host.leave_out(ex)
+        self._move(ex, State.RUNNING)
+
+    def _place_call(self, ex: Exchange) -> bool:
+        """Place its call if the breaker and the share of what lies below leave room."""
+        if ex.state is not State.AT_CALL:
+            return True
+        limits, now = self.limits, self.now
+        broken = self.calls_failed >= BREAK_AFTER
+        if broken and (self.trial is not None or now < self.trial_at):
+            return False
+        until = ex.give_up_at
+        if limits.below is Below.SHARED and limits.call_share:
+            budget = limits.call_share * limits.call_window * CALL_ROOM
+            until = min(until, now + int(min(ex.group.slo_time * CALL_TIME, budget / 2)))
+            commit = until - now + limits.call_linger
+            if self.calls_time.total(now)[0] + self.calls_booked + commit > budget:
+                return False
+            ex.call_commit = commit
+            self.calls_booked += commit
+        if broken:
+            self.trial = ex
+        self.host.call(ex, until)
+        self._move(ex, State.CALLING)
+        return True
+
+    def _end_call(self, ex: Exchange, linger: int) -> None:
+        """Book the time that a call was in the hands of what lies below."""
+        if ex.state is State.CALLING:
+            self.calls_booked -= ex.call_commit
+            ex.call_commit = 0
+            self.calls_time.add(self.now, self.now - ex.since + linger)
+            if self.trial is ex:
+                self.trial = None
--- /dev/null
+++ b/oakkeel/simhost/__main__.py
@@ -0,0 +1,30 @@
+"""`python -m oakkeel.simhost`: batches on standard input, one reply each on standard output."""
+
+from __future__ import annotations
+
+import gc
+import sys
+
+from oakkeel.simhost.table import InstanceTable
+from oakkeel.simhost.wire import WireError, read_frame
+
+
+def main() -> int:
+    gc.freeze()                     # the modules live as long as the process: don't scan them again
+    gc.set_threshold(50_000, 20, 50)
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    table = InstanceTable()
+    try:
+        while (frame := read_frame(source)) is not None:
+            sink.write(table.batch(*frame))
+            sink.flush()
+    except (WireError, UnicodeDecodeError) as error:
+        print(f"oakkeel: {error}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oakkeel/simhost/instance.py
@@ -0,0 +1,97 @@
+"""One instance on the simulator's wire: ids become objects here, and what is asked of the host becomes actions."""
+
+from __future__ import annotations
+
+from oakkeel.interface import Effect, Exchange, Gauges, Outcome
+from oakkeel.policy import Keel
+from oakkeel.simhost import wire
+from oakkeel.simhost.settings import read_limits
+
+OUTCOMES = {200: Outcome.COMPLETED, 502: Outcome.ERROR, 429: Outcome.DENIED, 408: Outcome.GIVEN_UP,
+            521: Outcome.UNREACHED, 520: Outcome.RESET, 444: Outcome.STOPPED, 409: Outcome.MOOT}
+GAUGES = {"core_use": "core_busy", "on_cores": "run_queue", "heap_share": "memory_share", "links": "connections"}
+
+
+class Instance:
+    """The `Host` of one `Keel`. Ids stay known for the life of the instance, so that late events are harmless."""
+
+    def __init__(self, number: int, seed: int, text: str, now: int, reply: wire.Reply) -> None:
+        self.number = number
+        self.reply = reply
+        self.limits, names = read_limits(text)
+        self.gauge_names = [GAUGES.get(name) for name in names]
+        self.gauges = Gauges()
+        self.exchanges: dict[int, Exchange] = {}
+        self.ids: dict[Exchange, int] = {}
+        self.keel = Keel(self, self.limits, seed, now)
+
+    # Events in.
+
+    def exchange(self, ident: int) -> Exchange:
+        return self.exchanges.get(ident) or wire.fail(f"unknown exchange {ident} on instance {self.number}")
+
+    def incoming(self, now: int, fields: tuple) -> None:
+        _, _, ident, group, _, _, memory_kb, bits, caller, left, tenant, backlog, key, earlier = fields
+        limits = self.limits
+        if group >= len(limits.groups) or ident in self.exchanges:
+            wire.fail(f"exchange {ident} on instance {self.number}: id used before or endpoint group {group} unknown")
+        row = limits.groups[group]
+        ex = Exchange(group=row, tenant=limits.tenants[tenant] if tenant < len(limits.tenants) else None,
+                      caller=caller, memory_kb=memory_kb, marked_retry=bool(bits & wire.FLAG_RETRY), left=left,
+                      backlog=backlog, has_key=bool(key) or row.effect is Effect.DEDUPLICATED, repeats=bool(earlier))
+        self.exchanges[ident] = ex
+        self.ids[ex] = ident
+        self.keel.arrive(now, ex)
+
+    def read_gauges(self, values: tuple) -> Gauges:
+        for name, value in zip(self.gauge_names, values):
+            if name:
+                setattr(self.gauges, name, value)
+        return self.gauges
+
+    # Actions out.
+
+    def _named(self, code: int, ex: Exchange) -> None:
+        self.reply.records.append(wire.ACT_ID.pack(code, self.number, self.ids[ex]))
+
+    def run(self, ex: Exchange) -> None:
+        self._named(wire.LAUNCH, ex)
+
+    def deny(self, ex: Exchange, last: bool, retry_after: int) -> None:
+        self.reply.records.append(wire.ACT_BOUNCE.pack(wire.BOUNCE, self.number, self.ids[ex], last, retry_after))
+
+    def terminate(self, ex: Exchange) -> None:
+        self._named(wire.REPORT_FAILURE, ex)
+
+    def stop(self, ex: Exchange) -> None:
+        self._named(wire.INTERRUPT, ex)
+
+    def call(self, ex: Exchange, until: int) -> None:
+        self.reply.records.append(wire.ACT_ID_TIME.pack(wire.DIAL, self.number, self.ids[ex], until))
+
+    def leave_out(self, ex: Exchange) -> None:
+        self._named(wire.GO_ON, ex)
+
+    def share(self, ex: Exchange) -> None:
+        self._named(wire.SHARE, ex)
+
+    def remember(self, ex: Exchange, duration: int) -> None:
+        self.reply.records.append(wire.ACT_ID_TIME.pack(wire.REMEMBER, self.number, self.ids[ex], duration))
+
+    def forget(self, ex: Exchange) -> None:
+        self._named(wire.RELEASE_KEY, ex)
+
+    def set_timer(self, token: int, at: int) -> None:
+        self.reply.records.append(wire.ACT_ID_TIME.pack(wire.SET_TIMER, self.number, token, at))
+
+    def set_health(self, good: bool, stored: bool) -> None:
+        self.reply.records.append(wire.ACT_HEALTH.pack(wire.HEALTH, self.number, stored, good))
+
+    def advise(self, value: float) -> None:
+        self.reply.records.append(wire.ACT_FLOAT.pack(wire.ANNOUNCE, self.number, value))
+
+    def close_idle(self, after: int) -> None:
+        self.reply.records.append(wire.ACT_TIME.pack(wire.TRIM_AFTER, self.number, after))
+
+    def note(self, text: str) -> None:
+        self.reply.add_text(wire.DEBUG, self.number, text)
--- /dev/null
+++ b/oakkeel/simhost/settings.py
@@ -0,0 +1,103 @@
+"""The settings that come with an instance's start, as the limits of a node. Unknown ones are skipped."""
+
+from __future__ import annotations
+
+from oakkeel.interface import AdviceKind, Below, Effect, EndpointGroup, NodeLimits, StopKind, Tenant
+from oakkeel.simhost.wire import fail
+
+EFFECTS = {"read_like": Effect.REPEATABLE, "idempotency_key": Effect.DEDUPLICATED,
+           "non_idempotent": Effect.MUTATING}
+STOPS = {"silent": StopKind.NONE, "abort": StopKind.ABORT, "suspend": StopKind.SUSPEND}
+ADVICE = {"silent": AdviceKind.SILENT, "threshold": AdviceKind.LEVEL, "window": AdviceKind.WINDOW,
+          "share_of": AdviceKind.SHARE}
+BELOW = {"silent": Below.NOTHING, "shared": Below.SHARED, "tier": Below.TIER}
+
+
+class Pairs:
+    """The path=value lines of a start; `get` tolerates an absent path, `need` does not."""
+
+    def __init__(self, text: str) -> None:
+        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+    def get(self, path: str, default: str) -> str:
+        return self.values.get(path) or default
+
+    def need(self, path: str) -> str:
+        return self.values.get(path) or fail(f"settings lack {path}")
+
+    def number(self, path: str, default: float = 0.0) -> float:
+        return self._parse(path, self.get(path, str(default)))
+
+    def time(self, path: str) -> int:
+        return int(self.number(path))
+
+    def needed_number(self, path: str) -> float:
+        return self._parse(path, self.need(path))
+
+    def flag(self, path: str) -> bool:
+        return self.get(path, "false") == "true"
+
+    def entry(self, path: str, index: int, default: str) -> str:
+        parts = self.get(path, "").split(",")
+        return parts[index] if index < len(parts) and parts[index] else default
+
+    def choice(self, path: str, known: dict, default: str):
+        word = self.get(path, default)
+        return known[word] if word in known else fail(f"settings hold an unknown word: {path}={word}")
+
+    @staticmethod
+    def _parse(path: str, value: str) -> float:
+        try:
+            return float(value)
+        except ValueError:
+            fail(f"settings hold no number: {path}={value}")
+
+
+def read_limits(text: str) -> tuple[NodeLimits, list[str]]:
+    """The limits of a node, and the names of its gauges in their order."""
+    pairs = Pairs(text)
+    limits = NodeLimits(
+        cores=int(pairs.needed_number("extra.cores")),
+        memory_kb=pairs.needed_number("extra.heap-kb"),
+        run_factor=pairs.needed_number("extra.run-factor"),
+        key_kb=pairs.number("extra.key-kb"),
+        cold=pairs.flag("extra.cold"),
+        cold_from=pairs.number("obligations.cold-from", 1.0),
+        cold_time=pairs.time("obligations.cold"),
+        crowd_multiple=pairs.needed_number("obligations.fall-multiple"),
+        crowd_window=pairs.time("obligations.overload-for"),
+        drain_grace=pairs.time("obligations.drain-grace"),
+        answer_slack=pairs.time("obligations.grace-to-answer"),
+        max_retry_after=pairs.time("ceilings.max-retry-after") if pairs.flag("ceilings.retry-after") else 0,
+        stop_kind=pairs.choice("extra.halt", STOPS, "silent"),
+        peers=max(1, int(pairs.number("peers-total", 1))),
+        callers=max(1, int(pairs.number("extra.callers", 1))),
+        below=pairs.choice("extra.depends-on", BELOW, "silent"),
+        call_share=pairs.number("extra.call-share"),
+        call_window=pairs.time("extra.dep-window"),
+        call_linger=pairs.time("extra.linger"),
+        fresh=pairs.time("extra.fresh"),
+        idle=pairs.time("extra.idle"),
+        advice=pairs.choice("extra.say", ADVICE, "silent"),
+        real_checks=pairs.flag("extra.real-checks"),
+        over_share=pairs.number("over-share-worth", 1.0),
+        tick=pairs.time("tick"),
+        groups=[_group(pairs, index) for index in range(int(pairs.needed_number("classes.count")))],
+        tenants=[Tenant(index, pairs.number(f"tenants.{index}.allowance-per-s"))
+                 for index in range(int(pairs.number("tenants.count")))])
+    return limits, pairs.get("extra.gauges", "").split(",")
+
+
+def _group(pairs: Pairs, index: int) -> EndpointGroup:
+    path = f"classes.{index}."
+    async_timeout = int(pairs.needed_number(path + "hard-limit"))
+    return EndpointGroup(
+        index=index,
+        effect=pairs.choice(path + "effect", EFFECTS, "non_idempotent"),
+        benefit=pairs.number(path + "worth", 1.0),
+        slo_time=pairs.time(path + "aim") or async_timeout,
+        async_timeout=async_timeout,
+        window=pairs.time(path + "window"),
+        late_share=pairs.number(path + "late-worth"),
+        calls=pairs.entry("extra.calls-by-class", index, "false") == "true",
+        skip_share=float(pairs.entry("extra.class-skip-worth", index, "0")))
