Bound calls in hand by the node's share; count unplaced calls as depth

Calls in hand are now bounded by half the share, and runs whose call is not placed yet count as depth, which makes the ladder shed before work is started in vain. Also covers a slowed dependency.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -47,7 +47,8 @@
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest takes what one batch may bring
 HOLD_ROOM = 0.95
 # Calls below.
-CALL_ROOM = 0.9                             # of the share of what lies below
+CALL_ROOM = 0.5                             # of the share of what lies below, as a mean
+CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
 CALL_TIME = 0.25                            # of the SLO time, for one call
 CALL_TRIES = 3
 BREAK_AFTER = 5                             # failures in a row
@@ -56,7 +57,7 @@
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
 SLO_ROOM = 5 * MS
 RING_STEP = 500 * MS
-RING_SIZE = 8
+RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
 POLL_TOKEN = 0
 
 # Which states may follow each.
@@ -210,9 +211,9 @@
             if ex.state is not State.HELD:
                 heappop(self.hold)
                 continue
-            on_cores = count[State.RUNNING] + count[State.ORPHANED]
+            on_cores = self._on_cores()
             more = ex.memory_kb * (limits.run_factor - 1)
-            if (on_cores >= run or on_cores + count[State.AT_CALL] + count[State.CALLING] + 1 > crowd
+            if (on_cores >= run or on_cores + count[State.CALLING] + 1 > crowd
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
             heappop(self.hold)
@@ -232,8 +233,11 @@
     def _depth(self) -> float:
         """In the hold and on the cores, for each core; those at calls have a bound of their own."""
         count = self.count
-        return (count[State.DELAYED] + count[State.HELD] + count[State.RUNNING]
-                + count[State.ORPHANED]) / self.limits.cores
+        return (count[State.DELAYED] + count[State.HELD] + self._on_cores()) / self.limits.cores
+
+    def _on_cores(self) -> int:
+        """Runs on the cores, and those whose call we have not placed yet: these wait on us, not on what lies below."""
+        return self.count[State.RUNNING] + self.count[State.ORPHANED] + self.count[State.AT_CALL]
 
     def _stage(self) -> int:
         return max(self.cpu_stage, self.depth_stage, self.latency_stage)
@@ -487,7 +491,9 @@
             budget = limits.call_share * limits.call_window * CALL_ROOM
             until = min(until, now + int(min(ex.group.slo_time * CALL_TIME, budget / 2)))
             commit = until - now + limits.call_linger
-            if self.calls_time.total(now)[0] + self.calls_booked + commit > budget:
+            crowd = max(1.0, limits.call_share * CALL_CROWD)
+            if (self.count[State.CALLING] + 1 > crowd
+                    or self.calls_time.total(now)[0] + self.calls_booked + commit > budget):
                 return False
             ex.call_commit = commit
             self.calls_booked += commit
