--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -50,6 +50,7 @@
 CALL_ROOM = 0.5                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
 CALL_TIME = 0.25                            # of the SLO time, for one call
+CALL_WAIT = 0.15                            # of the SLO time, for room to place a call that may be left out
 CALL_TRIES = 3
 BREAK_AFTER = 5                             # failures in a row
 TRIAL_EVERY = SECOND
@@ -396,6 +397,8 @@
     def _ring(self, ex: Exchange) -> None:
         if self.now + ALARM_STEP > ex.give_up_at:
             self._give_up(ex)
+        elif ex.state is State.AT_CALL and ex.group.skip_share and self.now >= ex.since + CALL_WAIT * ex.group.slo_time:
+            self._leave_out(ex)
         elif ex.state is State.DELAYED:
             if self.depth_stage == Stage.REJECT:
                 self._deny(ex)
@@ -469,10 +472,9 @@
 
     def _try_call(self, ex: Exchange) -> None:
         if not self._place_call(ex):
+            self.waiting.append(ex)
             if ex.group.skip_share:
-                self._leave_out(ex)
-            else:
-                self.waiting.append(ex)
+                self._alarm(ex, self.now + int(CALL_WAIT * ex.group.slo_time))
 
     def _leave_out(self, ex: Exchange) -> None:
         self.host.leave_out(ex)
