Tell how old a try is by a vote on its caller's usual wait

Cause: the longest wait seen was taken for a caller's usual one, but later tries state the rest of the whole async timeout, which is longer. A majority vote finds the usual wait; less than it means time used up, more means a later try. Covers walks, copies and second tiers; may hurt where first tries of one caller state many different waits.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -136,7 +136,7 @@
         self.latency = Ring()                                   # time to completion over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
-        self.usual_left: dict[tuple[int, int], int] = {}        # longest wait seen, by caller and endpoint group
+        self.usual_wait: dict[tuple[int, int], list[int]] = {}  # and its votes, by caller and endpoint group
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]    # place among the asked, and its breadth
@@ -159,13 +159,9 @@
         self.now = ex.arrived = ex.since = now
         group, limits = ex.group, self.limits
         tenant = ex.tenant.index if ex.tenant else 0
-        # Its times. A shorter wait than the caller's usual one tells how long the exchange has been under way.
         left = ex.left or max(0, group.async_timeout - ex.backlog)
-        usual = self.usual_left.get((ex.caller, group.index), 0)
-        if left + ex.backlog > usual:
-            self.usual_left[ex.caller, group.index] = usual = left + ex.backlog
         ex.due = now + left
-        ex.slo_end = now + group.slo_time - max(ex.backlog, usual - left)
+        ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
         ex.give_up_at = ex.due - DUE_ROOM if group.late_share else min(ex.due - DUE_ROOM, ex.slo_end - SLO_ROOM)
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
@@ -229,6 +225,19 @@
         self.order += 1
         heappush(self.hold, (ex.slo_end, self.order, 0, ex))
 
+    def _age(self, ex: Exchange, wait: int) -> int:
+        """How long an exchange had been under way when it came, told by the wait that its caller stated.
+
+        First tries of a caller state much the same wait, found by a vote. One that states less has used the
+        difference up; one that states more is a later try with the rest of the whole async timeout before it.
+        """
+        vote = self.usual_wait.setdefault((ex.caller, ex.group.index), [wait, 0])
+        same = abs(wait - vote[0]) * 64 <= vote[0]
+        vote[1] += 1 if same else -1
+        if vote[1] < 0:
+            vote[:] = [wait, 0]
+        return 0 if same else ex.group.async_timeout - wait if wait > vote[0] else vote[0] - wait
+
     # What the ladder goes by.
 
     def _depth(self) -> float:
@@ -474,7 +483,7 @@
         if not self._place_call(ex):
             self.waiting.append(ex)
             if ex.group.skip_share:
-                self._alarm(ex, self.now + int(CALL_WAIT * ex.group.slo_time))
+                self._alarm(ex, self.now + int(CALL_WAIT * ex.group.slo_time) + ALARM_STEP)
 
     def _leave_out(self, ex: Exchange) -> None:
         self.host.leave_out(ex)
