Run fewer at once: 1.17 a core from Expand on

Running more only adds crowd on the cores; a longer stay away starves nodes whose few callers all leave at once.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -42,7 +42,7 @@
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 RETRY_AFTER = 250 * MS
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
-RUN = (1.0, 1.34)
+RUN = (1.0, 1.17)
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores at once
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest takes what one batch may bring
 HOLD_ROOM = 0.95
