--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -57,6 +57,7 @@
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
 SLO_ROOM = 5 * MS
+STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 RING_STEP = 500 * MS
 RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
 POLL_TOKEN = 0
@@ -163,6 +164,8 @@
         ex.due = now + left
         ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
         ex.give_up_at = ex.due - DUE_ROOM if group.late_share else min(ex.due - DUE_ROOM, ex.slo_end - SLO_ROOM)
+        if self.stop_at:
+            ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
@@ -182,7 +185,7 @@
         stage = max(self.depth_stage, self.latency_stage)
         if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
             stage = max(stage, self.cpu_stage)
-        if stage == Stage.REJECT or now + self._expected(group.index) > ex.slo_end:
+        if stage == Stage.REJECT or now + self._expected(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
             return self._deny(ex)
@@ -372,8 +375,8 @@
         self._advise()
         for step in sorted(self.alarms):
             for ex in self.alarms[step]:
-                if ex.give_up_at > self.stop_at - 4 * ALARM_STEP:
-                    ex.give_up_at = self.stop_at - 4 * ALARM_STEP
+                if ex.give_up_at > self.stop_at - STOP_ROOM:
+                    ex.give_up_at = self.stop_at - STOP_ROOM
                     self._alarm(ex, ex.give_up_at)
 
     def timer(self, now: int, token: int, gauges: Gauges) -> None:
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,210 @@
+"""Short stories about the decisions: one for each rule and each failure met."""
+
+import unittest
+
+from oakkeel.interface import AdviceKind, Below, Effect, Outcome, State, StopKind
+from oakkeel.policy import MS, SECOND, Stage, climb
+from tests.fake import FakeHost
+
+
+class LadderStories(unittest.TestCase):
+
+    def test_an_idle_node_starts_an_exchange_at_once(self):
+        host = FakeHost()
+        self.assertEqual(host.words(host.arrive()), ["run"])
+
+    def test_stages_climb_at_their_threshold_and_fall_only_below_the_slack(self):
+        row = (0.7, 0.8, 0.85, 0.9, 0.95)
+        self.assertEqual(climb(Stage.NORMAL, 0.9, row, 0.05), Stage.BACKPRESSURE)
+        self.assertEqual(climb(Stage.BACKPRESSURE, 0.86, row, 0.05), Stage.BACKPRESSURE)
+        self.assertEqual(climb(Stage.BACKPRESSURE, 0.84, row, 0.05), Stage.REORDER)
+        self.assertEqual(climb(Stage.REJECT, 0.1, row, 0.05), Stage.NORMAL)
+
+    def test_a_flood_is_denied_on_arrival_with_when_to_return_and_the_run_stays_bounded(self):
+        host = FakeHost()
+        flood = [host.arrive() for _ in range(60)]
+        denials = [wish for wish in host.said if wish[0] == "deny"]
+        self.assertGreater(len(denials), 20)
+        self.assertTrue(all(0 < wish[3] <= SECOND for wish in denials))
+        self.assertLessEqual(len(host.in_state(flood, State.RUNNING)), 2 * host.limits.cores)
+
+    def test_a_busy_poll_alone_denies_nothing_while_the_cores_have_room(self):
+        host = FakeHost()
+        host.gauges.core_busy = 1.0
+        host.run_until(3 * SECOND)
+        self.assertEqual(host.words(host.arrive()), ["run"])
+
+    def test_low_benefit_is_shed_first(self):
+        host = FakeHost(groups=[{"benefit": 1}, {"benefit": 5}])
+        exchanges = []
+        for _ in range(100):
+            exchanges += [host.arrive(0), host.arrive(1)]
+            running = host.in_state(exchanges, State.RUNNING)
+            if len(running) > 3:
+                host.done(running[0])
+            host.run_until(host.now + 100 * MS)
+        denied = [sum(host.words(ex) == ["deny"] for ex in exchanges[group::2]) for group in (0, 1)]
+        self.assertGreater(denied[0], 2 * denied[1])
+
+    def test_a_tenant_over_its_share_is_shed_before_the_others(self):
+        host = FakeHost(tenants=[5.0, 50.0])
+        for _ in range(300):
+            host.done(host.arrive(tenant=0))
+            host.done(host.arrive(tenant=1))
+            host.run_until(host.now + 20 * MS)
+        greedy, modest = host.keel.ranks[0]
+        self.assertLess(greedy[0], modest[0])
+
+
+class AnswerStories(unittest.TestCase):
+
+    def test_held_running_and_calling_are_all_answered_before_they_are_due(self):
+        host = FakeHost(groups=[{"calls": True}], below=Below.TIER)
+        exchanges = [host.arrive(left=1500 * MS) for _ in range(9)]
+        host.at_call(exchanges[0])
+        host.run_until(host.now + 1490 * MS)
+        for ex in exchanges:
+            self.assertEqual(sum(word in ("deny", "terminate") for word in host.words(ex)), 1)
+        self.assertIn("stop", host.words(exchanges[1]))
+
+    def test_what_can_no_longer_be_in_time_is_denied_at_once(self):
+        host = FakeHost()
+        self.assertEqual(host.words(host.arrive(backlog=3 * SECOND, left=2 * SECOND)), ["deny"])
+
+    def test_a_caller_known_gone_gets_no_answer_and_its_work_is_stopped(self):
+        host = FakeHost()
+        ex = host.arrive()
+        host.keel.gone(host.now, ex)
+        host.done(ex, Outcome.STOPPED)
+        self.assertEqual((host.words(ex), ex.state), (["run", "stop"], State.OVER))
+
+    def test_events_for_an_exchange_already_over_are_harmless(self):
+        host = FakeHost()
+        ex = host.arrive()
+        host.done(ex)
+        host.done(ex, Outcome.MOOT)
+        host.at_call(ex)
+        host.call_done(ex, Outcome.COMPLETED)
+        host.keel.gone(host.now, ex)
+        self.assertEqual(host.words(ex), ["run"])
+
+    def test_a_later_try_with_the_long_rest_of_its_wait_does_not_age_first_tries(self):
+        # Once one retry had stated a longer wait, every first try of its caller looked too old and was denied.
+        host = FakeHost()
+        for _ in range(5):
+            host.done(host.arrive(left=1200 * MS))
+        host.done(host.arrive(left=4900 * MS, marked_retry=True))
+        self.assertEqual(host.words(host.arrive(left=1200 * MS)), ["run"])
+        self.assertEqual(host.words(host.arrive(left=2900 * MS)), ["deny"])
+
+
+class EffectStories(unittest.TestCase):
+
+    def test_a_repeat_of_a_deduplicated_exchange_shares_its_one_run(self):
+        host = FakeHost(groups=[{"effect": Effect.DEDUPLICATED}])
+        first = host.arrive(has_key=True)
+        again = host.arrive(has_key=True, repeats=True)
+        self.assertEqual((host.words(first), host.words(again)), (["remember", "run"], ["share"]))
+
+    def test_what_ran_once_is_terminated_not_denied_and_never_rerun(self):
+        host = FakeHost(groups=[{"effect": Effect.MUTATING}])
+        ex = host.arrive(left=SECOND)
+        host.run_until(host.now + 2 * SECOND)
+        host.done(ex, Outcome.STOPPED)
+        self.assertEqual(host.words(ex), ["run", "terminate", "stop"])
+
+    def test_a_call_of_a_mutating_exchange_is_resent_only_when_it_never_ran(self):
+        for outcome, calls in ((Outcome.UNREACHED, 2), (Outcome.RESET, 1)):
+            host = FakeHost(groups=[{"effect": Effect.MUTATING, "calls": True}], below=Below.TIER)
+            ex = host.arrive()
+            host.at_call(ex)
+            host.call_done(ex, outcome)
+            self.assertEqual(host.words(ex).count("call"), calls)
+
+    def test_fresh_reads_are_shared(self):
+        host = FakeHost(fresh=SECOND)
+        host.arrive(has_key=True)
+        self.assertEqual(host.words(host.arrive(has_key=True, repeats=True)), ["share"])
+
+
+class DrainStories(unittest.TestCase):
+
+    def test_nothing_that_arrives_after_the_grace_runs_and_all_is_answered_before_the_stop(self):
+        host = FakeHost(groups=[{"slo_time": 4 * SECOND}])
+        ex = host.arrive()
+        stop = host.now + 3 * SECOND
+        host.keel.leave(host.now, 3 * SECOND)
+        late_read = host.arrive(backlog=100 * MS)
+        host.run_until(host.now + 2100 * MS)
+        self.assertEqual(host.words(host.arrive()), ["deny"])
+        host.run_until(stop - MS)
+        self.assertIn("deny", host.words(ex))
+        self.assertIn("deny", host.words(late_read))
+        self.assertIn(("set_health", False, True), host.said)
+
+
+class GuardStories(unittest.TestCase):
+
+    def test_memory_bounds_what_is_held_and_what_runs(self):
+        host = FakeHost(memory_kb=2000)
+        exchanges = [host.arrive() for _ in range(30)]
+        self.assertLessEqual(len(host.in_state(exchanges, State.RUNNING)), 4)
+        self.assertLessEqual(host.keel.memory_kb, 2000)
+
+    def test_a_cold_node_keeps_runs_and_calls_under_its_smaller_crowd(self):
+        host = FakeHost(groups=[{"calls": True}], below=Below.TIER, cold=True, crowd_multiple=2)
+        exchanges = [host.arrive() for _ in range(40)]
+        for ex in exchanges:
+            host.at_call(ex)
+        self.assertLess(host.keel.count[State.CALLING] + host.keel.count[State.RUNNING], 1.25 * host.limits.cores)
+
+    def test_calls_in_hand_stay_under_a_share_below_one(self):
+        host = FakeHost(groups=[{"calls": True}], below=Below.SHARED, call_share=0.4, stop_kind=StopKind.SUSPEND)
+        spent = 0
+        for _ in range(100):
+            ex = host.arrive()
+            host.at_call(ex)
+            began = host.now
+            host.run_until(host.now + 300 * MS)
+            if ex.state is State.CALLING:
+                spent += host.now - began
+                host.call_done(ex, Outcome.COMPLETED)
+                host.done(ex)
+        self.assertLessEqual(host.keel.count[State.CALLING], 1)
+        self.assertGreater(spent, 0)
+        self.assertLess(spent / (host.now - SECOND), 0.4)
+
+    def test_failures_in_a_row_stop_calls_until_a_single_trial(self):
+        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.TIER)
+        for _ in range(8):
+            ex = host.arrive()
+            host.at_call(ex)
+            host.call_done(ex, Outcome.ERROR)
+            host.done(ex)
+        self.assertEqual(sum(wish[0] == "call" for wish in host.said), 5)
+        host.run_until(host.now + 1100 * MS)
+        pair = [host.arrive(), host.arrive()]
+        for ex in pair:
+            host.at_call(ex)
+        self.assertEqual(sum(wish[0] == "call" for wish in host.said), 6)
+
+    def test_a_call_waits_for_room_before_it_is_left_out(self):
+        # Leaving calls out at the first full moment gave up half the benefit for a wait of milliseconds.
+        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.SHARED, call_share=1)
+        first, second = host.arrive(), host.arrive()
+        host.at_call(first)
+        host.at_call(second)
+        self.assertEqual(host.words(second), ["run"])
+        host.run_until(host.now + 400 * MS)
+        self.assertEqual(host.words(second), ["run", "leave_out"])
+
+    def test_advice_falls_as_the_node_fills(self):
+        host = FakeHost(advice=AdviceKind.SHARE)
+        for _ in range(60):
+            host.arrive()
+        host.run_until(host.now + SECOND)
+        self.assertLess(min(wish[1] for wish in host.said if wish[0] == "advise"), 0.6)
+
+
+if __name__ == "__main__":
+    unittest.main()
