--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -57,6 +57,7 @@
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
 SLO_ROOM = 5 * MS
+VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; each other wait takes one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 RING_STEP = 500 * MS
 RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
@@ -236,10 +237,12 @@
         """
         vote = self.usual_wait.setdefault((ex.caller, ex.group.index), [wait, 0])
         same = abs(wait - vote[0]) * 64 <= vote[0]
-        vote[1] += 1 if same else -1
+        vote[1] = min(VOTES_MOST, vote[1] + VOTE_FOR) if same else vote[1] - 1
         if vote[1] < 0:
             vote[:] = [wait, 0]
-        return 0 if same else ex.group.async_timeout - wait if wait > vote[0] else vote[0] - wait
+        if same or vote[1] < VOTES_NEEDED:      # waits that spread, as those of calls from another tier, tell no age
+            return 0
+        return ex.group.async_timeout - wait if wait > vote[0] else vote[0] - wait
 
     # What the ladder goes by.
 
