Let runs give way to reading when the cores are crowded

Cause: on an overloaded node six exchanges were being read at all times and shared the cores with seven runs; the crowd made both slow, and what came waited unread. How many run now shrinks by what else wants a core, seen in the run queue gauge at each timer. Covers reading, checks and new connections alike; may hurt where the gauge lags behind a short spike.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -43,6 +43,8 @@
 RETRY_AFTER = 250 * MS
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.17)
+RUN_LEAST = 0.67                            # of the cores, however much is being read
+RUN_QUEUE = 1.67                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores at once
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest takes what one batch may bring
 HOLD_ROOM = 0.95
@@ -125,6 +127,7 @@
         self.host, self.limits, self.now, self.started = host, limits, now, now
         self.chance = Random(seed).random
         self.gauges = Gauges()
+        self.reading = 0.0                                      # what else wanted a core when last seen
         self.cpu_stage = self.depth_stage = self.latency_stage = Stage.NORMAL
         self.count = [0] * len(State)
         factor = limits.run_factor
@@ -205,7 +208,8 @@
         while self.waiting and self._place_call(self.waiting[0]):
             self.waiting.popleft()
         limits, count = self.limits, self.count
-        run = RUN[self._stage() >= Stage.EXPAND] * limits.cores
+        run = max(RUN_LEAST * limits.cores, min(RUN[self._stage() >= Stage.EXPAND] * limits.cores,
+                                                RUN_QUEUE * limits.cores - self.reading))
         crowd = self._crowd()
         while self.hold:
             _, _, _, ex = self.hold[0]
@@ -384,12 +388,12 @@
 
     def timer(self, now: int, token: int, gauges: Gauges) -> None:
         """The poll of the ladder, or a step of alarms."""
-        self.now = now
+        self.now, self.gauges = now, gauges
+        self.reading = max(0.0, gauges.run_queue - self._on_cores())
         if token != POLL_TOKEN:
             for ex in self.alarms.pop(token, ()):
                 self._ring(ex)
             return
-        self.gauges = gauges
         self.cpu_stage = climb(self.cpu_stage, gauges.core_busy, CPU, CPU_SLACK)
         self.latency_stage = climb(self.latency_stage, self.latency.mean(now, 0.0), LATENCY, LATENCY_SLACK)
         self.depth_stage = climb(self.depth_stage, self._depth(), DEPTH, DEPTH_SLACK)
