Tell callers to return soon where only low ranks are shed

The return time now grows from 25 ms to 500 ms with what is being read, and is longest at Reject by depth.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -40,7 +40,8 @@
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-RETRY_AFTER = 250 * MS
+RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
+RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.17)
 RUN_LEAST = 0.5                             # of the cores, however much is being read
@@ -288,7 +289,7 @@
 
     def _deny(self, ex: Exchange) -> None:
         """Answer at once, with when to come back."""
-        self.host.deny(ex, ex.marked_retry, min(RETRY_AFTER, self.limits.max_retry_after))
+        self.host.deny(ex, ex.marked_retry, self._retry_after())
         if ex.kept:
             ex.kept = False
             self.host.forget(ex)
@@ -304,7 +305,7 @@
         if self._once(ex):
             self.host.terminate(ex)
         else:
-            self.host.deny(ex, True, min(RETRY_AFTER, self.limits.max_retry_after))
+            self.host.deny(ex, True, self._retry_after())
         if state is State.RUNNING:
             self._move(ex, State.ORPHANED)
             if self.limits.stop_kind is not StopKind.NONE:
@@ -315,6 +316,11 @@
         else:
             self._move(ex, State.OVER)
 
+    def _retry_after(self) -> int:
+        """When to return: soon where only low ranks are shed, for a caller stays away with all that it has."""
+        crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores)
+        return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
+
     @staticmethod
     def _once(ex: Exchange) -> bool:
         return ex.group.effect is not Effect.REPEATABLE
