Raise the cut to 0.9 of what is asked by Backpressure

Cause: the cut grew until Reject, so shedding four fifths of a flood (one tenant's burst) needed a depth at which Reject denied all alike. The cut now does its work between Reorder and Backpressure and leaves the room up to Reject to high rank.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -39,6 +39,7 @@
 DEPTH_SLACK = 0.25
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
+CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
@@ -117,8 +118,8 @@
 
 
 def place(value: float, row: tuple[float, ...]) -> float:
-    """Where a signal stands between REORDER (0) and REJECT (1)."""
-    return min(1.0, max(0.0, (value - row[2]) / (row[4] - row[2])))
+    """Where a signal stands between REORDER (0) and BACKPRESSURE (1)."""
+    return min(1.0, max(0.0, (value - row[2]) / (row[3] - row[2])))
 
 
 class Keel:
@@ -265,7 +266,7 @@
 
     def _cut(self, depth: float) -> float:
         """The rank below which an exchange is low: it rises with the signals from REORDER to REJECT."""
-        return max(place(depth, DEPTH), place(self.latency.mean(self.now, 0.0), LATENCY))
+        return CUT_MOST * max(place(depth, DEPTH), place(self.latency.mean(self.now, 0.0), LATENCY))
 
     def _expected(self, group: int) -> int:
         """How long an exchange of the group would take, behind what is held."""
