Fold the two ways of ending work into one

Simplification: giving up and hearing that a caller is gone now share _abandon; what could not happen is dropped.

--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -1,8 +1,8 @@
 """The types between the decisions (`oakkeel.policy`) and whatever hosts them.
 
-A front (today `oakkeel.simhost`) fills in `NodeLimits`, `EndpointGroup` rows and `Exchange` objects, calls the
-methods of `policy.Keel`, and carries out what comes back through `Host`. Times are whole nanoseconds, memory is in
-kilobytes. Nothing here decides or tunes.
+A front (today `oakkeel.simhost`) fills in `NodeLimits`, `EndpointGroup` rows and `Exchange` objects, calls
+the methods of `policy.Keel`, and carries out what comes back through `Host`. Times are whole nanoseconds, memory
+is in kilobytes. Nothing here decides or tunes.
 """
 
 from __future__ import annotations
@@ -122,7 +122,7 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """One exchange read by this node. The first block is filled in by the host, the second kept by the decisions."""
+    """One exchange read by this node: the host fills in the first block, the decisions keep the second."""
     group: EndpointGroup
     tenant: Tenant | None
     caller: int
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -1,9 +1,10 @@
 """Every decision of an oakkeel node.
 
-How it is invoked: a front makes one `Keel` for each node (host, limits, seed, clock), calls `arrive`, `run_done`,
-`at_call`, `call_done`, `gone`, `leave` and `timer` for what happens, and `settle` once after all that happened at
-one moment. What the node shall do goes out through `Host`. The types and `Host` are in `oakkeel/interface.py`; why
-each rule is as it is stands in `docs/design.md`. Times are whole nanoseconds, memory is in kilobytes.
+How it is invoked: a front makes one `Keel` for each node (host, limits, seed, clock), calls `arrive`,
+`run_done`, `at_call`, `call_done`, `gone`, `leave` and `timer` for what happens, and `settle` once after all that
+happened at one moment. What the node shall do goes out through `Host`. The types and `Host` are in
+`oakkeel/interface.py`; why each rule is as it is stands in `docs/design.md`. Times are whole nanoseconds, memory
+is in kilobytes.
 """
 
 from __future__ import annotations
@@ -47,8 +48,8 @@
 RUN = (1.0, 1.17)
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.5                             # runs, reading, checks and new connections together
-CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores at once
-MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest takes what one batch may bring
+CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
+MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest is for what comes in
 HOLD_ROOM = 0.95
 # Calls below.
 CALL_ROOM = 0.5                             # of the share of what lies below, as a mean
@@ -61,7 +62,7 @@
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
 SLO_ROOM = 5 * MS
-VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; each other wait takes one vote
+VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; others take one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 RING_STEP = 500 * MS
 RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
@@ -72,7 +73,7 @@
         State.DELAYED: {State.HELD, State.OVER},
         State.HELD: {State.RUNNING, State.OVER},
         State.SHARING: {State.OVER},
-        State.RUNNING: {State.AT_CALL, State.ORPHANED, State.HELD, State.OVER},
+        State.RUNNING: {State.AT_CALL, State.ORPHANED, State.OVER},
         State.AT_CALL: {State.CALLING, State.RUNNING, State.ENDING, State.OVER},
         State.CALLING: {State.AT_CALL, State.RUNNING, State.ENDING, State.OVER},
         State.ORPHANED: {State.ENDING, State.OVER},
@@ -133,11 +134,11 @@
         self.cpu_stage = self.depth_stage = self.latency_stage = Stage.NORMAL
         self.count = [0] * len(State)
         factor = limits.run_factor
-        self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state, over the held
+        self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state
         self.memory_kb = 0.0
-        self.hold: list[tuple[float, int, int, Exchange]] = []
+        self.hold: list[tuple[int, int, Exchange]] = []
         self.order = 0
-        self.keys: list[tuple[int, int]] = []                   # when the memory of a kept key is free
+        self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
         self.latency = Ring()                                   # time to completion over the SLO time
@@ -210,11 +211,11 @@
         while self.waiting and self._place_call(self.waiting[0]):
             self.waiting.popleft()
         limits, count = self.limits, self.count
-        run = max(RUN_LEAST * limits.cores, min(RUN[self._stage() >= Stage.EXPAND] * limits.cores,
-                                                RUN_QUEUE * limits.cores - self.reading))
+        stage = max(self.cpu_stage, self.depth_stage, self.latency_stage)
+        run = max(RUN_LEAST, min(RUN[stage >= Stage.EXPAND], RUN_QUEUE - self.reading / limits.cores)) * limits.cores
         crowd = self._crowd()
         while self.hold:
-            _, _, _, ex = self.hold[0]
+            ex = self.hold[0][2]
             if ex.state is not State.HELD:
                 heappop(self.hold)
                 continue
@@ -224,16 +225,13 @@
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
             heappop(self.hold)
-            if ex.group.effect is not Effect.REPEATABLE and ex.ran:
-                self._give_up(ex)
-                continue
             self._move(ex, State.RUNNING)
             self.host.run(ex)
 
     def _admit(self, ex: Exchange) -> None:
         self._move(ex, State.HELD)
         self.order += 1
-        heappush(self.hold, (ex.slo_end, self.order, 0, ex))
+        heappush(self.hold, (ex.slo_end, self.order, ex))
 
     def _age(self, ex: Exchange, wait: int) -> int:
         """How long an exchange had been under way when it came, told by the wait that its caller stated.
@@ -258,14 +256,11 @@
         return (count[State.DELAYED] + count[State.HELD] + self._on_cores()) / self.limits.cores
 
     def _on_cores(self) -> int:
-        """Runs on the cores, and those whose call we have not placed yet: these wait on us, not on what lies below."""
+        """Runs, and those whose call we have not placed: these wait on us, not on what lies below."""
         return self.count[State.RUNNING] + self.count[State.ORPHANED] + self.count[State.AT_CALL]
 
-    def _stage(self) -> int:
-        return max(self.cpu_stage, self.depth_stage, self.latency_stage)
-
     def _cut(self, depth: float) -> float:
-        """The rank below which an exchange is low: it rises with the signals from REORDER to REJECT."""
+        """The rank below which an exchange is low: it rises with the signals from REORDER to BACKPRESSURE."""
         return CUT_MOST * max(place(depth, DEPTH), place(self.latency.mean(self.now, 0.0), LATENCY))
 
     def _expected(self, group: int) -> int:
@@ -298,23 +293,26 @@
 
     def _give_up(self, ex: Exchange) -> None:
         """Answer at once what can no longer be in time, and stop its work where the host can."""
-        state = ex.state
-        if state in (State.ORPHANED, State.ENDING, State.OVER):
-            return
-        if state in (State.READ, State.DELAYED, State.HELD) and not (ex.ran and self._once(ex)):
+        if ex.state in (State.READ, State.DELAYED, State.HELD):
             return self._deny(ex)
+        if ex.state in (State.ORPHANED, State.ENDING, State.OVER):
+            return
         if self._once(ex):
             self.host.terminate(ex)
         else:
             self.host.deny(ex, True, self._retry_after())
-        if state is State.RUNNING:
+        self._abandon(ex)
+
+    def _abandon(self, ex: Exchange) -> None:
+        """Nobody waits for it any more: stop its work where the host can, so that it does not hold a core in vain."""
+        if ex.state is State.RUNNING:
             self._move(ex, State.ORPHANED)
             if self.limits.stop_kind is not StopKind.NONE:
                 self.host.stop(ex)
-        elif state in (State.AT_CALL, State.CALLING):
+        elif ex.state in (State.AT_CALL, State.CALLING):
             self._end_call(ex, self.limits.call_linger)
             self._move(ex, State.ENDING)
-        else:
+        elif ex.state not in (State.ORPHANED, State.ENDING, State.OVER):
             self._move(ex, State.OVER)
 
     def _retry_after(self) -> int:
@@ -346,7 +344,7 @@
         self.host.remember(ex, duration)
         ex.kept = True
         self.memory_kb += self.limits.key_kb
-        heappush(self.keys, (self.now + duration, 0))
+        heappush(self.keys, self.now + duration)
 
     # What the host tells.
 
@@ -358,27 +356,17 @@
             return
         if state in (State.AT_CALL, State.CALLING):
             self._end_call(ex, 0)
-        if outcome is Outcome.STOPPED and state is State.RUNNING:
-            self._move(ex, State.HELD)          # stopped, but not answered: it must not stay without an answer
-            return self._give_up(ex)
+        if outcome is Outcome.STOPPED and state in (State.RUNNING, State.AT_CALL, State.CALLING):
+            self.host.terminate(ex)             # stopped, but not by us: it must not stay without an answer
         self._move(ex, State.OVER)
         if outcome is Outcome.COMPLETED and state is State.RUNNING:
             self.spans[ex.group.index].add(now, ex.on_cores)
             self.latency.add(now, (now - ex.arrived + ex.backlog) / ex.group.slo_time)
 
     def gone(self, now: int, ex: Exchange) -> None:
-        """Nobody waits for it any more."""
+        """The caller is known to have given up; no answer is owed."""
         self.now = now
-        state = ex.state
-        if state is State.RUNNING:
-            self._move(ex, State.ORPHANED)
-            if self.limits.stop_kind is not StopKind.NONE:
-                self.host.stop(ex)
-        elif state in (State.AT_CALL, State.CALLING):
-            self._end_call(ex, self.limits.call_linger)
-            self._move(ex, State.ENDING)
-        elif state not in (State.ORPHANED, State.ENDING, State.OVER):
-            self._move(ex, State.OVER)
+        self._abandon(ex)
 
     def leave(self, now: int, left: int) -> None:
         """The notice to leave: finish what can be before the stop, answer the rest just before it."""
@@ -405,7 +393,7 @@
         self.latency_stage = climb(self.latency_stage, self.latency.mean(now, 0.0), LATENCY, LATENCY_SLACK)
         self.depth_stage = climb(self.depth_stage, self._depth(), DEPTH, DEPTH_SLACK)
         self.span = [ring.mean(now, self.span[index]) for index, ring in enumerate(self.spans)]
-        while self.keys and self.keys[0][0] <= now:
+        while self.keys and self.keys[0] <= now:
             heappop(self.keys)
             self.memory_kb -= self.limits.key_kb
         self._set_ranks()
