Count runs given up as times on the cores, and let old times fade

Cause: on a node slowed many times nothing completes, so the expected time stayed that of a healthy node and each admitted exchange was worked on and given up. Given-up runs now count with what they took, and a time that nothing confirms fades, so that a node that denies all takes trials again. Covers stuck cores, neighbours, thrash; may hurt where a few very long runs stand among short ones.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -64,6 +64,7 @@
 SLO_ROOM = 5 * MS
 VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; others take one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
+SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP = 500 * MS
 RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
 POLL_TOKEN = 0
@@ -307,6 +308,7 @@
         """Nobody waits for it any more: stop its work where the host can, so that it does not hold a core in vain."""
         if ex.state is State.RUNNING:
             self._move(ex, State.ORPHANED)
+            self.spans[ex.group.index].add(self.now, ex.on_cores)   # at least so long: a stuck node must see it
             if self.limits.stop_kind is not StopKind.NONE:
                 self.host.stop(ex)
         elif ex.state in (State.AT_CALL, State.CALLING):
@@ -392,7 +394,7 @@
         self.cpu_stage = climb(self.cpu_stage, gauges.core_busy, CPU, CPU_SLACK)
         self.latency_stage = climb(self.latency_stage, self.latency.mean(now, 0.0), LATENCY, LATENCY_SLACK)
         self.depth_stage = climb(self.depth_stage, self._depth(), DEPTH, DEPTH_SLACK)
-        self.span = [ring.mean(now, self.span[index]) for index, ring in enumerate(self.spans)]
+        self.span = [ring.mean(now, self.span[index] * SPAN_FADE) for index, ring in enumerate(self.spans)]
         while self.keys and self.keys[0] <= now:
             heappop(self.keys)
             self.memory_kb -= self.limits.key_kb
