--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -1,8 +1,8 @@
 """The types between the decisions (`oakkeel.policy`) and whatever hosts them.
 
 A front (today `oakkeel.simhost`) fills in `NodeLimits`, `EndpointGroup` rows and `Exchange` objects, calls
-the methods of `policy.Keel`, and carries out what comes back through `Host`. Times are whole nanoseconds, memory
-is in kilobytes. Nothing here decides or tunes.
+the methods of `policy.Keel`, and carries out what comes back through `Host`. Times are whole nanoseconds,
+memory is in kilobytes. Nothing here decides or tunes.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 
 class Effect(Enum):
     """Whether an exchange may take effect again."""
+
     REPEATABLE = "repeatable"
     DEDUPLICATED = "deduplicated"
     MUTATING = "mutating"
@@ -21,6 +22,7 @@
 
 class StopKind(Enum):
     """What a host can do to running work."""
+
     NONE = "none"
     ABORT = "abort"
     SUSPEND = "suspend"
@@ -28,14 +30,16 @@
 
 class AdviceKind(Enum):
     """How callers read the value given to `Host.advise`."""
+
     SILENT = "silent"
-    LEVEL = "level"      # no exchange ranked below the value is sent here
-    WINDOW = "window"    # the most exchanges a caller may have out here
-    SHARE = "share"      # the chance that a caller does not skip this node
+    LEVEL = "level"  # no exchange ranked below the value is sent here
+    WINDOW = "window"  # the most exchanges a caller may have out here
+    SHARE = "share"  # the chance that a caller does not skip this node
 
 
 class Below(Enum):
     """What the exchanges of this node call."""
+
     NOTHING = "nothing"
     SHARED = "shared"
     TIER = "tier"
@@ -43,47 +47,51 @@
 
 class Outcome(Enum):
     """How a run or a call ended."""
+
     COMPLETED = "completed"
     ERROR = "error"
-    DENIED = "denied"            # never ran
+    DENIED = "denied"  # never ran
     GIVEN_UP = "given up"
-    UNREACHED = "unreached"      # never ran
+    UNREACHED = "unreached"  # never ran
     RESET = "reset"
     STOPPED = "stopped"
-    MOOT = "moot"                # never ran
+    MOOT = "moot"  # never ran
 
 
 class State(IntEnum):
     """The states of an exchange; `policy.Keel` alone moves one on."""
-    READ = 0        # read, not yet decided
-    DELAYED = 1     # in the hold, under the Backpressure wait
-    HELD = 2        # in the hold, may start
-    SHARING = 3     # waits for the result of the one that it repeats
-    RUNNING = 4     # on the cores
-    AT_CALL = 5     # off the cores, its call not placed
-    CALLING = 6     # off the cores, its call placed
-    ORPHANED = 7    # answered, its run still on the cores
-    ENDING = 8      # answered at a call, its memory not yet free
+
+    READ = 0  # read, not yet decided
+    DELAYED = 1  # in the hold, under the Backpressure wait
+    HELD = 2  # in the hold, may start
+    SHARING = 3  # waits for the result of the one that it repeats
+    RUNNING = 4  # on the cores
+    AT_CALL = 5  # off the cores, its call not placed
+    CALLING = 6  # off the cores, its call placed
+    ORPHANED = 7  # answered, its run still on the cores
+    ENDING = 8  # answered at a call, its memory not yet free
     OVER = 9
 
 
 @dataclass(slots=True, eq=False)
 class EndpointGroup:
     """A row of the table of endpoint groups."""
+
     index: int
     effect: Effect
     benefit: float
     slo_time: int
     async_timeout: int
-    window: int             # a deduplicated exchange may come again within this
-    late_share: float       # of the benefit, for an answer after the SLO time
-    calls: bool             # its exchanges may call what lies below
-    skip_share: float       # of the benefit, where a call is left out
+    window: int  # a deduplicated exchange may come again within this
+    late_share: float  # of the benefit, for an answer after the SLO time
+    calls: bool  # its exchanges may call what lies below
+    skip_share: float  # of the benefit, where a call is left out
 
 
 @dataclass(slots=True, eq=False)
 class Tenant:
     """A tenant and the rate that it may send to the whole fleet (0: not limited)."""
+
     index: int
     allowance_per_s: float
 
@@ -91,30 +99,31 @@
 @dataclass(slots=True, eq=False)
 class NodeLimits:
     """What a node is told of itself and its rules when it starts."""
+
     cores: int
     memory_kb: float
-    run_factor: float           # memory of a running exchange over that of a held one
+    run_factor: float  # memory of a running exchange over that of a held one
     key_kb: float
     cold: bool
-    cold_from: float            # share of full speed that a cold node starts at
+    cold_from: float  # share of full speed that a cold node starts at
     cold_time: int
-    crowd_multiple: float       # running exchanges a core that a warm node survives
+    crowd_multiple: float  # running exchanges a core that a warm node survives
     crowd_window: int
     drain_grace: int
     answer_slack: int
-    max_retry_after: int        # 0: callers take no such advice
+    max_retry_after: int  # 0: callers take no such advice
     stop_kind: StopKind
     peers: int
     callers: int
     below: Below
-    call_share: float           # mean calls in the hands of what lies below; 0: no bound
+    call_share: float  # mean calls in the hands of what lies below; 0: no bound
     call_window: int
     call_linger: int
-    fresh: int                  # how long an answer may serve other reads; 0: never
+    fresh: int  # how long an answer may serve other reads; 0: never
     idle: int
     advice: AdviceKind
     real_checks: bool
-    over_share: float           # benefit of an exchange above its tenant's share
+    over_share: float  # benefit of an exchange above its tenant's share
     tick: int
     groups: list[EndpointGroup]
     tenants: list[Tenant]
@@ -123,33 +132,35 @@
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One exchange read by this node: the host fills in the first block, the decisions keep the second."""
+
     group: EndpointGroup
     tenant: Tenant | None
     caller: int
     memory_kb: float
     marked_retry: bool
-    left: int                   # until its caller gives up, 0 where not told
-    backlog: int                # since it reached the machine
-    has_key: bool               # reads of its key may be shared
-    repeats: bool               # it repeats an exchange that the host remembers
+    left: int  # until its caller gives up, 0 where not told
+    backlog: int  # since it reached the machine
+    has_key: bool  # reads of its key may be shared
+    repeats: bool  # it repeats an exchange that the host remembers
 
     state: State = State.READ
     ran: bool = False
-    due: int = 0                # the last moment for its answer
+    due: int = 0  # the last moment for its answer
     slo_end: int = 0
     give_up_at: int = 0
-    since: int = 0              # when it entered its state
+    since: int = 0  # when it entered its state
     arrived: int = 0
-    on_cores: int = 0           # time spent on the cores so far
+    on_cores: int = 0  # time spent on the cores so far
     rank: float = 0.0
     calls_failed: int = 0
-    call_commit: int = 0        # call time booked for a call in flight
+    call_commit: int = 0  # call time booked for a call in flight
     kept: bool = False
 
 
 @dataclass(slots=True)
 class Gauges:
     """A node's own gauges, as last read."""
+
     core_busy: float = 0.0
     run_queue: float = 0.0
     memory_share: float = 0.0
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -1,10 +1,10 @@
 """Every decision of an oakkeel node.
 
 How it is invoked: a front makes one `Keel` for each node (host, limits, seed, clock), calls `arrive`,
-`run_done`, `at_call`, `call_done`, `gone`, `leave` and `timer` for what happens, and `settle` once after all that
-happened at one moment. What the node shall do goes out through `Host`. The types and `Host` are in
-`oakkeel/interface.py`; why each rule is as it is stands in `docs/design.md`. Times are whole nanoseconds, memory
-is in kilobytes.
+`run_done`, `at_call`, `call_done`, `gone`, `leave` and `timer` for what happens, and `settle` once after all
+that happened at one moment. What the node shall do goes out through `Host`. The types and `Host` are in
+`oakkeel/interface.py`; why each rule is as it is stands in `docs/design.md`. Times are whole nanoseconds,
+memory is in kilobytes.
 """
 
 from __future__ import annotations
@@ -132,7 +132,7 @@
         self.chance = Random(seed).random
         self.gauges = Gauges()
         self.reading = 0.0                                      # what else wanted a core when last seen
-        self.cpu_stage = self.depth_stage = self.latency_stage = Stage.NORMAL
+        self.cpu_stage = self.depth_stage = self.latency_stage = int(Stage.NORMAL)
         self.count = [0] * len(State)
         factor = limits.run_factor
         self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state
@@ -148,8 +148,8 @@
         self.usual_wait: dict[tuple[int, int], list[int]] = {}  # and its votes, by caller and endpoint group
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
-        self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]    # place among the asked, and its breadth
-        self.calls_time = Ring()                                # call time spent, for the share of what lies below
+        self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
+        self.calls_time = Ring()                                # call time spent below
         self.calls_booked = 0
         self.calls_failed = 0
         self.trial_at = 0
@@ -171,7 +171,9 @@
         left = ex.left or max(0, group.async_timeout - ex.backlog)
         ex.due = now + left
         ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
-        ex.give_up_at = ex.due - DUE_ROOM if group.late_share else min(ex.due - DUE_ROOM, ex.slo_end - SLO_ROOM)
+        ex.give_up_at = ex.due - DUE_ROOM
+        if not group.late_share:
+            ex.give_up_at = min(ex.give_up_at, ex.slo_end - SLO_ROOM)
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
         if not ex.marked_retry:
@@ -213,7 +215,8 @@
             self.waiting.popleft()
         limits, count = self.limits, self.count
         stage = max(self.cpu_stage, self.depth_stage, self.latency_stage)
-        run = max(RUN_LEAST, min(RUN[stage >= Stage.EXPAND], RUN_QUEUE - self.reading / limits.cores)) * limits.cores
+        room = RUN_QUEUE - self.reading / limits.cores
+        run = max(RUN_LEAST, min(RUN[stage >= Stage.EXPAND], room)) * limits.cores
         crowd = self._crowd()
         while self.hold:
             ex = self.hold[0][2]
@@ -245,8 +248,8 @@
         vote[1] = min(VOTES_MOST, vote[1] + VOTE_FOR) if same else vote[1] - 1
         if vote[1] < 0:
             vote[:] = [wait, 0]
-        if same or vote[1] < VOTES_NEEDED:      # waits that spread, as those of calls from another tier, tell no age
-            return 0
+        if same or vote[1] < VOTES_NEEDED:
+            return 0                            # waits that spread, as those from another tier do, tell no age
         return ex.group.async_timeout - wait if wait > vote[0] else vote[0] - wait
 
     # What the ladder goes by.
@@ -275,7 +278,8 @@
         limits = self.limits
         if not limits.cold or not limits.cold_time:
             return 1.0
-        return min(1.0, limits.cold_from + (1 - limits.cold_from) * (self.now - self.started) / limits.cold_time)
+        warmed = min(1.0, (self.now - self.started) / limits.cold_time)
+        return limits.cold_from + (1 - limits.cold_from) * warmed
 
     def _crowd(self) -> float:
         """How many may run or be at calls: all may come back to the cores at once."""
@@ -305,7 +309,7 @@
         self._abandon(ex)
 
     def _abandon(self, ex: Exchange) -> None:
-        """Nobody waits for it any more: stop its work where the host can, so that it does not hold a core in vain."""
+        """Nobody waits for it any more: stop its work where the host can, so that no core is held in vain."""
         if ex.state is State.RUNNING:
             self._move(ex, State.ORPHANED)
             self.spans[ex.group.index].add(self.now, ex.on_cores)   # at least so long: a stuck node must see it
@@ -318,7 +322,7 @@
             self._move(ex, State.OVER)
 
     def _retry_after(self) -> int:
-        """When to return: soon where only low ranks are shed, for a caller stays away with all that it has."""
+        """When to return: soon where only low ranks are shed, as a caller stays away with all that it has."""
         crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores)
         return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
 
@@ -413,8 +417,9 @@
     def _ring(self, ex: Exchange) -> None:
         if self.now + ALARM_STEP > ex.give_up_at:
             self._give_up(ex)
-        elif ex.state is State.AT_CALL and ex.group.skip_share and self.now >= ex.since + CALL_WAIT * ex.group.slo_time:
-            self._leave_out(ex)
+        elif ex.state is State.AT_CALL:
+            if ex.group.skip_share and self.now >= ex.since + CALL_WAIT * ex.group.slo_time:
+                self._leave_out(ex)
         elif ex.state is State.DELAYED:
             if self.depth_stage == Stage.REJECT:
                 self._deny(ex)
@@ -422,7 +427,7 @@
                 self._admit(ex)
 
     def _set_ranks(self) -> None:
-        """Each endpoint group and tenant gets its place among what is asked of this node, the least benefit first."""
+        """Give each endpoint group and tenant its place among what is asked, the least benefit first."""
         limits, now, rows = self.limits, self.now, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(now)[1] for rings in self.asked]
@@ -430,7 +435,8 @@
             allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
             within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
-            rows += [(group.benefit * worth, group.index, tenant, counts[group.index]) for group in limits.groups]
+            for group in limits.groups:
+                rows.append((group.benefit * worth, group.index, tenant, counts[group.index]))
         rows.sort()
         total = sum(row[3] for row in rows) or 1
         below = 0
--- a/oakkeel/simhost/__main__.py
+++ b/oakkeel/simhost/__main__.py
@@ -10,7 +10,7 @@
 
 
 def main() -> int:
-    gc.freeze()                     # the modules live as long as the process: don't scan them again
+    gc.freeze()  # the modules live as long as the process: don't scan them again
     gc.set_threshold(50_000, 20, 50)
     source, sink = sys.stdin.buffer, sys.stdout.buffer
     table = InstanceTable()
--- a/oakkeel/simhost/instance.py
+++ b/oakkeel/simhost/instance.py
@@ -1,4 +1,4 @@
-"""One instance on the simulator's wire: ids become objects here, and what is asked of the host becomes actions."""
+"""One instance on the simulator's wire: ids become objects, and what is asked of the host becomes actions."""
 
 from __future__ import annotations
 
@@ -7,13 +7,26 @@
 from oakkeel.simhost import wire
 from oakkeel.simhost.settings import read_limits
 
-OUTCOMES = {200: Outcome.COMPLETED, 502: Outcome.ERROR, 429: Outcome.DENIED, 408: Outcome.GIVEN_UP,
-            521: Outcome.UNREACHED, 520: Outcome.RESET, 444: Outcome.STOPPED, 409: Outcome.MOOT}
-GAUGES = {"core_use": "core_busy", "on_cores": "run_queue", "heap_share": "memory_share", "links": "connections"}
+OUTCOMES = {
+    200: Outcome.COMPLETED,
+    502: Outcome.ERROR,
+    429: Outcome.DENIED,
+    408: Outcome.GIVEN_UP,
+    521: Outcome.UNREACHED,
+    520: Outcome.RESET,
+    444: Outcome.STOPPED,
+    409: Outcome.MOOT,
+}
+GAUGES = {
+    "core_use": "core_busy",
+    "on_cores": "run_queue",
+    "heap_share": "memory_share",
+    "links": "connections",
+}
 
 
 class Instance:
-    """The `Host` of one `Keel`. Ids stay known for the life of the instance, so that late events are harmless."""
+    """The `Host` of one `Keel`. Ids stay known for its life, so that late events are harmless."""
 
     def __init__(self, number: int, seed: int, text: str, now: int, reply: wire.Reply) -> None:
         self.number = number
@@ -34,17 +47,27 @@
         _, _, ident, group, _, _, memory_kb, bits, caller, left, tenant, backlog, key, earlier = fields
         limits = self.limits
         if group >= len(limits.groups) or ident in self.exchanges:
-            wire.fail(f"exchange {ident} on instance {self.number}: id used before or endpoint group {group} unknown")
+            wire.fail(
+                f"exchange {ident} on instance {self.number}: id used before, or group {group} unknown"
+            )
         row = limits.groups[group]
-        ex = Exchange(group=row, tenant=limits.tenants[tenant] if tenant < len(limits.tenants) else None,
-                      caller=caller, memory_kb=memory_kb, marked_retry=bool(bits & wire.FLAG_RETRY), left=left,
-                      backlog=backlog, has_key=bool(key) or row.effect is Effect.DEDUPLICATED, repeats=bool(earlier))
+        ex = Exchange(
+            group=row,
+            tenant=limits.tenants[tenant] if tenant < len(limits.tenants) else None,
+            caller=caller,
+            memory_kb=memory_kb,
+            marked_retry=bool(bits & wire.FLAG_RETRY),
+            left=left,
+            backlog=backlog,
+            has_key=bool(key) or row.effect is Effect.DEDUPLICATED,
+            repeats=bool(earlier),
+        )
         self.exchanges[ident] = ex
         self.ids[ex] = ident
         self.keel.arrive(now, ex)
 
     def read_gauges(self, values: tuple) -> Gauges:
-        for name, value in zip(self.gauge_names, values):
+        for name, value in zip(self.gauge_names, values, strict=False):
             if name:
                 setattr(self.gauges, name, value)
         return self.gauges
@@ -58,7 +81,9 @@
         self._named(wire.LAUNCH, ex)
 
     def deny(self, ex: Exchange, last: bool, retry_after: int) -> None:
-        self.reply.records.append(wire.ACT_BOUNCE.pack(wire.BOUNCE, self.number, self.ids[ex], last, retry_after))
+        self.reply.records.append(
+            wire.ACT_BOUNCE.pack(wire.BOUNCE, self.number, self.ids[ex], last, retry_after)
+        )
 
     def terminate(self, ex: Exchange) -> None:
         self._named(wire.REPORT_FAILURE, ex)
--- a/oakkeel/simhost/settings.py
+++ b/oakkeel/simhost/settings.py
@@ -5,11 +5,18 @@
 from oakkeel.interface import AdviceKind, Below, Effect, EndpointGroup, NodeLimits, StopKind, Tenant
 from oakkeel.simhost.wire import fail
 
-EFFECTS = {"read_like": Effect.REPEATABLE, "idempotency_key": Effect.DEDUPLICATED,
-           "non_idempotent": Effect.MUTATING}
+EFFECTS = {
+    "read_like": Effect.REPEATABLE,
+    "idempotency_key": Effect.DEDUPLICATED,
+    "non_idempotent": Effect.MUTATING,
+}
 STOPS = {"silent": StopKind.NONE, "abort": StopKind.ABORT, "suspend": StopKind.SUSPEND}
-ADVICE = {"silent": AdviceKind.SILENT, "threshold": AdviceKind.LEVEL, "window": AdviceKind.WINDOW,
-          "share_of": AdviceKind.SHARE}
+ADVICE = {
+    "silent": AdviceKind.SILENT,
+    "threshold": AdviceKind.LEVEL,
+    "window": AdviceKind.WINDOW,
+    "share_of": AdviceKind.SHARE,
+}
 BELOW = {"silent": Below.NOTHING, "shared": Below.SHARED, "tier": Below.TIER}
 
 
@@ -83,8 +90,11 @@
         over_share=pairs.number("over-share-worth", 1.0),
         tick=pairs.time("tick"),
         groups=[_group(pairs, index) for index in range(int(pairs.needed_number("classes.count")))],
-        tenants=[Tenant(index, pairs.number(f"tenants.{index}.allowance-per-s"))
-                 for index in range(int(pairs.number("tenants.count")))])
+        tenants=[
+            Tenant(index, pairs.number(f"tenants.{index}.allowance-per-s"))
+            for index in range(int(pairs.number("tenants.count")))
+        ],
+    )
     return limits, pairs.get("extra.gauges", "").split(",")
 
 
@@ -100,4 +110,5 @@
         window=pairs.time(path + "window"),
         late_share=pairs.number(path + "late-worth"),
         calls=pairs.entry("extra.calls-by-class", index, "false") == "true",
-        skip_share=float(pairs.entry("extra.class-skip-worth", index, "0")))
+        skip_share=float(pairs.entry("extra.class-skip-worth", index, "0")),
+    )
--- a/oakkeel/simhost/table.py
+++ b/oakkeel/simhost/table.py
@@ -15,19 +15,27 @@
     def __init__(self) -> None:
         self.instances: dict[int, Instance] = {}
         self.reply = wire.Reply()
-        self.tail = 0               # where the tail of the batch in hand begins
+        self.tail = 0  # where the tail of the batch in hand begins
         self.handlers: dict[int, Callable[[int, bytes, int], Instance | None]] = {
-            wire.EV_PROVISION: self._provision, wire.EV_INCOMING: self._incoming, wire.EV_WORK_DONE: self._ended,
-            wire.EV_CALL_DONE: self._ended, wire.EV_AWAITING: self._named, wire.EV_GONE: self._named,
-            wire.EV_LAME_DUCK: self._named, wire.EV_TIMER: self._timer, wire.EV_KILLED: self._killed}
+            wire.EV_PROVISION: self._provision,
+            wire.EV_INCOMING: self._incoming,
+            wire.EV_WORK_DONE: self._ended,
+            wire.EV_CALL_DONE: self._ended,
+            wire.EV_AWAITING: self._named,
+            wire.EV_GONE: self._named,
+            wire.EV_LAME_DUCK: self._named,
+            wire.EV_TIMER: self._timer,
+            wire.EV_KILLED: self._killed,
+        }
 
     def batch(self, number: int, clock: int, count: int, body: bytes) -> bytes:
-        """Hand out the records of a batch, let each instance that had one settle, and return the reply's frame."""
+        """Hand out the records of a batch, settle each instance that had one, and return the reply's frame."""
         touched: dict[int, Instance] = {}
         self.tail = count * wire.EVENT_SIZE
         for offset in range(0, self.tail, wire.EVENT_SIZE):
             handler = self.handlers.get(body[offset]) or wire.fail(
-                f"batch {number}: unknown event code {body[offset]}")
+                f"batch {number}: unknown event code {body[offset]}"
+            )
             who = wire.KILLED.unpack_from(body, offset)[1]
             instance = self._guarded(who, handler, clock, body, offset)
             if instance is not None:
@@ -48,7 +56,7 @@
             return handler(clock, body, offset)
         except (wire.WireError, UnicodeDecodeError):
             raise
-        except Exception as error:      # whatever the module raises ends the day with its text
+        except Exception as error:  # whatever the module raises ends the day with its text
             self.reply.add_text(wire.INTERNAL_ERROR, who, f"{type(error).__name__}: {error}")
             return None
 
@@ -63,7 +71,7 @@
         start += self.tail
         if start + length > len(body):
             wire.fail(f"settings of instance {who} reach past the end of the batch")
-        text = body[start:start + length].decode()
+        text = body[start : start + length].decode()
         instance = self.instances[who] = Instance(who, seed, text, clock, self.reply)
         return instance
 
--- a/oakkeel/simhost/wire.py
+++ b/oakkeel/simhost/wire.py
@@ -1,4 +1,4 @@
-"""The frames of the simulator's wire: precompiled structs, no knowledge of what they mean to the decisions."""
+"""The frames of the simulator's wire, in precompiled structs that know nothing of the decisions."""
 
 from __future__ import annotations
 
@@ -6,32 +6,56 @@
 from typing import BinaryIO, NoReturn
 
 EVENT_SIZE = 72
-HEADER = Struct("<IIQI")            # number, bytes that follow the second field, clock, records
+HEADER = Struct("<IIQI")  # number, bytes that follow the second field, clock, records
 REPLY_HEADER = Struct("<III")
 HEADER_REST = HEADER.size - 8
 REPLY_REST = REPLY_HEADER.size - 8
 
 # Events: code, instance, then the fields.
-PROVISION = Struct("<BIQII")        # seed, offset and length of the settings
+PROVISION = Struct("<BIQII")  # seed, offset and length of the settings
 INCOMING = Struct("<BIQHfQfBHQIQQQ")
-ENDED = Struct("<BIQHQ")            # work_done and call_done: id, status, latency
-NAMED = Struct("<BIQ")              # awaiting, gone: id; lame_duck: time left
-TIMER = Struct("<BIQB")             # token, number of gauges
+ENDED = Struct("<BIQHQ")  # work_done and call_done: id, status, latency
+NAMED = Struct("<BIQ")  # awaiting, gone: id; lame_duck: time left
+TIMER = Struct("<BIQB")  # token, number of gauges
 KILLED = Struct("<BI")
 MOST_GAUGES = (EVENT_SIZE - TIMER.size) // 4
-(EV_PROVISION, EV_INCOMING, EV_WORK_DONE, EV_AWAITING, EV_CALL_DONE, EV_LAME_DUCK, EV_GONE, EV_TIMER,
- EV_KILLED) = range(1, 10)
+(
+    EV_PROVISION,
+    EV_INCOMING,
+    EV_WORK_DONE,
+    EV_AWAITING,
+    EV_CALL_DONE,
+    EV_LAME_DUCK,
+    EV_GONE,
+    EV_TIMER,
+    EV_KILLED,
+) = range(1, 10)
 
 # Actions: code, instance, then the fields, padded to 24 bytes.
-ACT_ID = Struct("<BIQ11x")          # launch, go_on, share, interrupt, report_failure, release_key
-ACT_ID_TIME = Struct("<BIQQ3x")     # dial, remember; set_timer: token, time
+ACT_ID = Struct("<BIQ11x")  # launch, go_on, share, interrupt, report_failure, release_key
+ACT_ID_TIME = Struct("<BIQQ3x")  # dial, remember; set_timer: token, time
 ACT_BOUNCE = Struct("<BIQBQ2x")
 ACT_HEALTH = Struct("<BIBB17x")
 ACT_FLOAT = Struct("<BIf15x")
-ACT_TIME = Struct("<BIQ11x")        # trim_after
-ACT_TEXT = Struct("<BIII11x")       # debug, internal_error: offset and length
-(REPORT_FAILURE, TRIM_AFTER, HEALTH, INTERRUPT, DIAL, DEBUG, INTERNAL_ERROR, SET_TIMER, BOUNCE, RELEASE_KEY,
- REMEMBER, LAUNCH, SHARE, GO_ON, ANNOUNCE) = range(1, 16)
+ACT_TIME = Struct("<BIQ11x")  # trim_after
+ACT_TEXT = Struct("<BIII11x")  # debug, internal_error: offset and length
+(
+    REPORT_FAILURE,
+    TRIM_AFTER,
+    HEALTH,
+    INTERRUPT,
+    DIAL,
+    DEBUG,
+    INTERNAL_ERROR,
+    SET_TIMER,
+    BOUNCE,
+    RELEASE_KEY,
+    REMEMBER,
+    LAUNCH,
+    SHARE,
+    GO_ON,
+    ANNOUNCE,
+) = range(1, 16)
 
 FLAG_RETRY = 2
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -4,18 +4,61 @@
 
 from dataclasses import replace
 
-from oakkeel.interface import (AdviceKind, Below, Effect, EndpointGroup, Exchange, Gauges, NodeLimits, Outcome,
-                               State, StopKind, Tenant)
+from oakkeel.interface import (
+    AdviceKind,
+    Below,
+    Effect,
+    EndpointGroup,
+    Exchange,
+    Gauges,
+    NodeLimits,
+    Outcome,
+    State,
+    StopKind,
+    Tenant,
+)
 from oakkeel.policy import MS, SECOND, Keel
 
 LIMITS = NodeLimits(
-    cores=4, memory_kb=100_000, run_factor=8, key_kb=100, cold=False, cold_from=0.25, cold_time=10 * SECOND,
-    crowd_multiple=5, crowd_window=2 * SECOND, drain_grace=2 * SECOND, answer_slack=60 * MS, max_retry_after=SECOND,
-    stop_kind=StopKind.ABORT, peers=1, callers=2, below=Below.NOTHING, call_share=0, call_window=5 * SECOND,
-    call_linger=200 * MS, fresh=0, idle=30 * SECOND, advice=AdviceKind.SILENT, real_checks=False, over_share=0.1,
-    tick=4 * MS, groups=[], tenants=[])
-GROUP = EndpointGroup(index=0, effect=Effect.REPEATABLE, benefit=1, slo_time=2 * SECOND, async_timeout=5 * SECOND,
-                      window=5 * SECOND, late_share=0, calls=False, skip_share=0)
+    cores=4,
+    memory_kb=100_000,
+    run_factor=8,
+    key_kb=100,
+    cold=False,
+    cold_from=0.25,
+    cold_time=10 * SECOND,
+    crowd_multiple=5,
+    crowd_window=2 * SECOND,
+    drain_grace=2 * SECOND,
+    answer_slack=60 * MS,
+    max_retry_after=SECOND,
+    stop_kind=StopKind.ABORT,
+    peers=1,
+    callers=2,
+    below=Below.NOTHING,
+    call_share=0,
+    call_window=5 * SECOND,
+    call_linger=200 * MS,
+    fresh=0,
+    idle=30 * SECOND,
+    advice=AdviceKind.SILENT,
+    real_checks=False,
+    over_share=0.1,
+    tick=4 * MS,
+    groups=[],
+    tenants=[],
+)
+GROUP = EndpointGroup(
+    index=0,
+    effect=Effect.REPEATABLE,
+    benefit=1,
+    slo_time=2 * SECOND,
+    async_timeout=5 * SECOND,
+    window=5 * SECOND,
+    late_share=0,
+    calls=False,
+    skip_share=0,
+)
 
 
 class FakeHost:
@@ -23,7 +66,9 @@
 
     def __init__(self, groups: list[dict] | None = None, tenants: list[float] = (), **limits) -> None:
         rows = [replace(GROUP, index=index, **row) for index, row in enumerate(groups or [{}])]
-        self.limits = replace(LIMITS, groups=rows, tenants=[Tenant(*pair) for pair in enumerate(tenants)], **limits)
+        self.limits = replace(
+            LIMITS, groups=rows, tenants=[Tenant(*pair) for pair in enumerate(tenants)], **limits
+        )
         self.said: list[tuple] = []
         self.timers: list[tuple[int, int]] = []
         self.gauges = Gauges()
@@ -38,9 +83,17 @@
 
     def arrive(self, group: int = 0, settle: bool = True, tenant: int | None = None, **fields) -> Exchange:
         row = self.limits.groups[group]
-        given = dict(group=row, tenant=None if tenant is None else self.limits.tenants[tenant], caller=0,
-                     memory_kb=50, marked_retry=False, left=row.async_timeout, backlog=0, has_key=False,
-                     repeats=False)
+        given = dict(
+            group=row,
+            tenant=None if tenant is None else self.limits.tenants[tenant],
+            caller=0,
+            memory_kb=50,
+            marked_retry=False,
+            left=row.async_timeout,
+            backlog=0,
+            has_key=False,
+            repeats=False,
+        )
         ex = Exchange(**(given | fields))
         self.keel.arrive(self.now, ex)
         if settle:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,7 +8,6 @@
 
 
 class LadderStories(unittest.TestCase):
-
     def test_an_idle_node_starts_an_exchange_at_once(self):
         host = FakeHost()
         self.assertEqual(host.words(host.arrive()), ["run"])
@@ -57,7 +56,6 @@
 
 
 class AnswerStories(unittest.TestCase):
-
     def test_held_running_and_calling_are_all_answered_before_they_are_due(self):
         host = FakeHost(groups=[{"calls": True}], below=Below.TIER)
         exchanges = [host.arrive(left=1500 * MS) for _ in range(9)]
@@ -89,7 +87,7 @@
         self.assertEqual(host.words(ex), ["run"])
 
     def test_a_later_try_with_the_long_rest_of_its_wait_does_not_age_first_tries(self):
-        # Once one retry had stated a longer wait, every first try of its caller looked too old and was denied.
+        # Once one retry had stated a longer wait, every first try of its caller was denied as too old.
         host = FakeHost()
         for _ in range(12):
             host.done(host.arrive(left=1200 * MS))
@@ -99,7 +97,6 @@
 
 
 class EffectStories(unittest.TestCase):
-
     def test_a_repeat_of_a_deduplicated_exchange_shares_its_one_run(self):
         host = FakeHost(groups=[{"effect": Effect.DEDUPLICATED}])
         first = host.arrive(has_key=True)
@@ -128,7 +125,6 @@
 
 
 class DrainStories(unittest.TestCase):
-
     def test_nothing_that_arrives_after_the_grace_runs_and_all_is_answered_before_the_stop(self):
         host = FakeHost(groups=[{"slo_time": 4 * SECOND}])
         ex = host.arrive()
@@ -144,7 +140,6 @@
 
 
 class GuardStories(unittest.TestCase):
-
     def test_memory_bounds_what_is_held_and_what_runs(self):
         host = FakeHost(memory_kb=2000)
         exchanges = [host.arrive() for _ in range(30)]
@@ -156,10 +151,14 @@
         exchanges = [host.arrive() for _ in range(40)]
         for ex in exchanges:
             host.at_call(ex)
-        self.assertLess(host.keel.count[State.CALLING] + host.keel.count[State.RUNNING], 1.25 * host.limits.cores)
+        self.assertLess(
+            host.keel.count[State.CALLING] + host.keel.count[State.RUNNING], 1.25 * host.limits.cores
+        )
 
     def test_calls_in_hand_stay_under_a_share_below_one(self):
-        host = FakeHost(groups=[{"calls": True}], below=Below.SHARED, call_share=0.4, stop_kind=StopKind.SUSPEND)
+        host = FakeHost(
+            groups=[{"calls": True}], below=Below.SHARED, call_share=0.4, stop_kind=StopKind.SUSPEND
+        )
         spent = 0
         for _ in range(100):
             ex = host.arrive()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,12 +9,24 @@
 from oakkeel.simhost import wire
 from oakkeel.simhost.table import InstanceTable
 
-SETTINGS = "\n".join((
-    "extra.cores=2", "extra.heap-kb=9000.0", "extra.run-factor=8.0", "obligations.fall-multiple=4.0",
-    "classes.count=1", "classes.0.hard-limit=4000000000", "classes.0.aim=1000000000", "classes.0.effect=read_like",
-    "extra.gauges=core_use,on_cores", "unheard.of=7")).encode()
+SETTINGS = "\n".join(
+    (
+        "extra.cores=2",
+        "extra.heap-kb=9000.0",
+        "extra.run-factor=8.0",
+        "obligations.fall-multiple=4.0",
+        "classes.count=1",
+        "classes.0.hard-limit=4000000000",
+        "classes.0.aim=1000000000",
+        "classes.0.effect=read_like",
+        "extra.gauges=core_use,on_cores",
+        "unheard.of=7",
+    )
+).encode()
 START = wire.PROVISION.pack(1, 3, 99, 0, len(SETTINGS)).ljust(wire.EVENT_SIZE, b"\0")
-ARRIVAL = wire.INCOMING.pack(2, 3, 77, 0, 0.5, 0, 40.0, 0, 1, 900_000_000, 0, 0, 0, 0).ljust(wire.EVENT_SIZE, b"\0")
+ARRIVAL = wire.INCOMING.pack(2, 3, 77, 0, 0.5, 0, 40.0, 0, 1, 900_000_000, 0, 0, 0, 0).ljust(
+    wire.EVENT_SIZE, b"\0"
+)
 
 
 def batch(*records: bytes, tail: bytes = b"") -> bytes:
@@ -23,22 +35,37 @@
 
 
 def run_adapter(data: bytes) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "oakkeel.simhost"], input=data, capture_output=True, timeout=20)
+    return subprocess.run(
+        [sys.executable, "-m", "oakkeel.simhost"], input=data, capture_output=True, timeout=20
+    )
 
 
 class WireStories(unittest.TestCase):
-
     def test_the_examples_of_the_wire(self):
-        empty = bytes.fromhex("01000000" "0c000000" "90bf68f501000000" "00000000")
+        empty = bytes.fromhex("010000000c00000090bf68f50100000000000000")
         self.assertEqual(wire.read_frame(io.BytesIO(empty)), (1, 8_412_249_999 + 1, 0, b""))
-        self.assertEqual(wire.Reply().frame(1).hex(), "01000000" "04000000" "00000000")
-        incoming = bytes.fromhex("02" "03000000" "c4913a5d91c40f00" "0000" "0000203f" "001bb70000000000" "0000c441"
-                                 "01" "1100" "001c4e0e00000000" "00000000" "903a1c0000000000" "640ad2557c3bf091"
-                                 "192b6f0e90b20c00" "0000")
+        self.assertEqual(wire.Reply().frame(1).hex(), "010000000400000000000000")
+        incoming = bytes.fromhex(
+            "02"
+            "03000000"
+            "c4913a5d91c40f00"
+            "0000"
+            "0000203f"
+            "001bb70000000000"
+            "0000c441"
+            "01"
+            "1100"
+            "001c4e0e00000000"
+            "00000000"
+            "903a1c0000000000"
+            "640ad2557c3bf091"
+            "192b6f0e90b20c00"
+            "0000"
+        )
         fields = wire.INCOMING.unpack_from(incoming)
         self.assertEqual(fields[3:12], (0, 0.625, 12_000_000, 24.5, 1, 17, 240_000_000, 0, 1_850_000))
         bounce = wire.ACT_BOUNCE.pack(wire.BOUNCE, 3, 0x000CB2900E6F2B19, True, 250_000_000)
-        self.assertEqual(bounce.hex(), "09" "03000000" "192b6f0e90b20c00" "01" "80b2e60e00000000" "0000")
+        self.assertEqual(bounce.hex(), "0903000000192b6f0e90b20c000180b2e60e000000000000")
 
     def test_an_arrival_is_launched_and_a_second_life_forgets_the_first(self):
         table = InstanceTable()
@@ -61,8 +88,14 @@
     def test_what_is_malformed_ends_the_adapter_with_one_plain_line(self):
         unknown_code = batch(b"\x63".ljust(wire.EVENT_SIZE, b"\0"))
         stranger = wire.ENDED.pack(3, 3, 55, 200, 0).ljust(wire.EVENT_SIZE, b"\0")
-        for data in (b"abc", batch(START, tail=SETTINGS)[:-4], unknown_code, batch(ARRIVAL),
-                     batch(START, stranger, tail=SETTINGS), batch(START.replace(SETTINGS, b""), tail=b"")):
+        for data in (
+            b"abc",
+            batch(START, tail=SETTINGS)[:-4],
+            unknown_code,
+            batch(ARRIVAL),
+            batch(START, stranger, tail=SETTINGS),
+            batch(START.replace(SETTINGS, b""), tail=b""),
+        ):
             ended = run_adapter(data)
             self.assertEqual(ended.returncode, 2)
             self.assertEqual(ended.stderr.count(b"\n"), 1)
