Move the advised share each poll by what wants a core

A denial costs its reading, a try that the caller takes elsewhere costs nothing: the share falls by a fifth a second while more than two a core are held, run or read, and rises again. Covers bursts, slow and cold nodes; may hurt where every caller heeds it and few nodes are left.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -51,6 +51,9 @@
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest is for what comes in
 HOLD_ROOM = 0.95
+# Advice: moved each poll by what wants a core, for each core.
+ADVICE_CROWD = 2.0
+ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 0.8, 1.15, 0.05
 # Calls below.
 CALL_ROOM = 0.5                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
@@ -156,6 +159,7 @@
         self.trial: Exchange | None = None
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice = -1.0
+        self.willing = 1.0
         host.set_health(True, True)                             # from store: a real check costs work
         if limits.cold:
             self._advise()
@@ -249,7 +253,7 @@
         if vote[1] < 0:
             vote[:] = [wait, 0]
         if same or vote[1] < VOTES_NEEDED:
-            return 0                            # waits that spread, as those from another tier do, tell no age
+            return 0        # waits that spread, as those from another tier do, tell no age
         return ex.group.async_timeout - wait if wait > vote[0] else vote[0] - wait
 
     # What the ladder goes by.
@@ -312,7 +316,7 @@
         """Nobody waits for it any more: stop its work where the host can, so that no core is held in vain."""
         if ex.state is State.RUNNING:
             self._move(ex, State.ORPHANED)
-            self.spans[ex.group.index].add(self.now, ex.on_cores)   # at least so long: a stuck node must see it
+            self.spans[ex.group.index].add(self.now, ex.on_cores)  # or a stuck node would not see it
             if self.limits.stop_kind is not StopKind.NONE:
                 self.host.stop(ex)
         elif ex.state in (State.AT_CALL, State.CALLING):
@@ -450,10 +454,14 @@
         if kind is AdviceKind.SILENT:
             return
         cut = 1.0 if self.stop_at else self._cut(self._depth())
+        # A denial costs its reading, one sent elsewhere nothing: lower until what wants a core is bounded.
+        crowd = self.reading / self.limits.cores + self._depth()
+        step = ADVICE_DOWN if crowd > ADVICE_CROWD else ADVICE_UP
+        self.willing = min(1.0, max(ADVICE_LEAST, self.willing * step))
         if kind is AdviceKind.LEVEL:
             value = cut
         elif kind is AdviceKind.SHARE:
-            value = max(0.05, self._warmth() * (1 - cut))
+            value = ADVICE_LEAST if self.stop_at else min(self.willing, self._warmth())
         else:
             value = max(1.0, DEPTH[4] * self.limits.cores * (1 - cut))
         if value != self.advice:
