--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -133,15 +133,13 @@
     def __init__(self, host: Host, limits: NodeLimits, seed: int, now: int) -> None:
         self.host, self.limits, self.now, self.started = host, limits, now, now
         self.chance = Random(seed).random
-        self.gauges = Gauges()
         self.reading = 0.0                                      # what else wanted a core when last seen
         self.cpu_stage = self.depth_stage = self.latency_stage = int(Stage.NORMAL)
         self.count = [0] * len(State)
         factor = limits.run_factor
         self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state
         self.memory_kb = 0.0
-        self.hold: list[tuple[int, int, Exchange]] = []
-        self.order = 0
+        self.hold: deque[Exchange] = deque()
         self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
@@ -221,25 +219,24 @@
         stage = max(self.cpu_stage, self.depth_stage, self.latency_stage)
         room = RUN_QUEUE - self.reading / limits.cores
         run = max(RUN_LEAST, min(RUN[stage >= Stage.EXPAND], room)) * limits.cores
-        crowd = self._crowd()
+        crowd = (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
         while self.hold:
-            ex = self.hold[0][2]
+            ex = self.hold[0]
             if ex.state is not State.HELD:
-                heappop(self.hold)
+                self.hold.popleft()
                 continue
             on_cores = self._on_cores()
             more = ex.memory_kb * (limits.run_factor - 1)
             if (on_cores >= run or on_cores + count[State.CALLING] + 1 > crowd
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
-            heappop(self.hold)
+            self.hold.popleft()
             self._move(ex, State.RUNNING)
             self.host.run(ex)
 
     def _admit(self, ex: Exchange) -> None:
         self._move(ex, State.HELD)
-        self.order += 1
-        heappush(self.hold, (ex.slo_end, self.order, ex))
+        self.hold.append(ex)
 
     def _age(self, ex: Exchange, wait: int) -> int:
         """How long an exchange had been under way when it came, told by the wait that its caller stated.
@@ -285,11 +282,6 @@
         warmed = min(1.0, (self.now - self.started) / limits.cold_time)
         return limits.cold_from + (1 - limits.cold_from) * warmed
 
-    def _crowd(self) -> float:
-        """How many may run or be at calls: all may come back to the cores at once."""
-        limits = self.limits
-        return (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
-
     # Answers.
 
     def _deny(self, ex: Exchange) -> None:
@@ -393,7 +385,7 @@
 
     def timer(self, now: int, token: int, gauges: Gauges) -> None:
         """The poll of the ladder, or a step of alarms."""
-        self.now, self.gauges = now, gauges
+        self.now = now
         self.reading = max(0.0, gauges.run_queue - self._on_cores())
         if token != POLL_TOKEN:
             for ex in self.alarms.pop(token, ()):
