--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -321,7 +321,7 @@
 
     def _retry_after(self) -> int:
         """When to return: soon where only low ranks are shed, as a caller stays away with all that it has."""
-        crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores)
+        crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores) ** 3
         return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
 
     @staticmethod
