Let calls take 0.8 of the node's share of what lies below

The bound books each call to its time limit and its lingering, so a mean over the share stays out of reach.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -56,7 +56,7 @@
 ADVICE_CROWD = 2.0
 ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 0.8, 1.15, 0.05
 # Calls below.
-CALL_ROOM = 0.5                             # of the share of what lies below, as a mean
+CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
 CALL_TIME = 0.25                            # of the SLO time, for one call
 CALL_WAIT = 0.15                            # of the SLO time, for room to place a call that may be left out
