Give calls an end that leaves time to go on without them

Where leaving a call out earns, it ends while the mean time on the cores is left, and a broken one is left out at once.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -156,7 +156,6 @@
         self.calls_booked = 0
         self.calls_failed = 0
         self.trial_at = 0
-        self.trial: Exchange | None = None
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice = -1.0
         self.willing = 1.0
@@ -189,9 +188,9 @@
             self._move(ex, State.SHARING)
             self.host.share(ex)
             return self._alarm(ex, ex.give_up_at)
-        if self.grace_end and now - ex.backlog > self.grace_end - DUE_ROOM or ex.give_up_at <= now:
-            return self._deny(ex)
-        if self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM:
+        after_grace = self.grace_end and now - ex.backlog > self.grace_end - DUE_ROOM
+        full = self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM
+        if after_grace or full or ex.give_up_at <= now:
             return self._deny(ex)
         # The ladder.
         depth = self._depth()
@@ -483,7 +482,6 @@
             self.calls_failed = 0
             return self._move(ex, State.RUNNING)
         self.calls_failed += 1
-        self.trial_at = now + TRIAL_EVERY
         ex.calls_failed += 1
         self._move(ex, State.AT_CALL)
         never_ran = outcome in (Outcome.DENIED, Outcome.UNREACHED, Outcome.MOOT)
@@ -496,6 +494,8 @@
 
     def _try_call(self, ex: Exchange) -> None:
         if not self._place_call(ex):
+            if ex.group.skip_share and self.calls_failed >= BREAK_AFTER:
+                return self._leave_out(ex)      # no use to wait for what is known to fail
             self.waiting.append(ex)
             if ex.group.skip_share:
                 self._alarm(ex, self.now + int(CALL_WAIT * ex.group.slo_time) + ALARM_STEP)
@@ -509,10 +509,11 @@
         if ex.state is not State.AT_CALL:
             return True
         limits, now = self.limits, self.now
-        broken = self.calls_failed >= BREAK_AFTER
-        if broken and (self.trial is not None or now < self.trial_at):
+        if self.calls_failed >= BREAK_AFTER and now < self.trial_at:
             return False
         until = ex.give_up_at
+        if ex.group.skip_share:                 # leave time to end without the call
+            until = max(now + MS, until - int(self.span[ex.group.index]))
         if limits.below is Below.SHARED and limits.call_share:
             budget = limits.call_share * limits.call_window * CALL_ROOM
             until = min(until, now + int(min(ex.group.slo_time * CALL_TIME, budget / 2)))
@@ -523,8 +524,7 @@
                 return False
             ex.call_commit = commit
             self.calls_booked += commit
-        if broken:
-            self.trial = ex
+        self.trial_at = now + TRIAL_EVERY
         self.host.call(ex, until)
         self._move(ex, State.CALLING)
         return True
@@ -535,5 +535,3 @@
             self.calls_booked -= ex.call_commit
             ex.call_commit = 0
             self.calls_time.add(self.now, self.now - ex.since + linger)
-            if self.trial is ex:
-                self.trial = None
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -197,6 +197,36 @@
         host.run_until(host.now + 400 * MS)
         self.assertEqual(host.words(second), ["run", "leave_out"])
 
+    def test_a_call_ends_in_time_to_go_on_without_it(self):
+        # Calls through a dead dispatcher hung until nothing could be done in time without them.
+        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.TIER)
+        ex = host.arrive()
+        host.at_call(ex)
+        until = next(wish[2] for wish in host.said if wish[0] == "call")
+        self.assertLess(until, ex.slo_end - 200 * MS)
+        host.run_until(until)
+        host.call_done(ex, Outcome.GIVEN_UP)
+        self.assertEqual(host.words(ex), ["run", "call", "leave_out"])
+
+    def test_reading_takes_the_place_of_runs(self):
+        host = FakeHost()
+        host.gauges.run_queue = 4
+        host.run_until(2 * SECOND)
+        exchanges = [host.arrive() for _ in range(8)]
+        self.assertLess(len(host.in_state(exchanges, State.RUNNING)), host.limits.cores)
+
+    def test_a_stuck_node_denies_early_and_takes_trials_again(self):
+        # On a node slowed many times nothing completed, so it went on to take work that it gave up.
+        host = FakeHost()
+        for _ in range(6):
+            wave = [host.arrive() for _ in range(4)]
+            host.run_until(host.now + 2 * SECOND)
+            for ex in host.in_state(wave, State.ORPHANED):
+                host.done(ex, Outcome.STOPPED)
+        self.assertEqual(host.words(host.arrive())[-1], "deny")
+        host.run_until(host.now + 15 * SECOND)
+        self.assertEqual(host.words(host.arrive()), ["run"])
+
     def test_advice_falls_poll_by_poll_while_the_node_is_full(self):
         host = FakeHost(advice=AdviceKind.SHARE)
         for _ in range(4):
