--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -68,7 +68,6 @@
 SLO_ROOM = 5 * MS
 VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; others take one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
-GIVEN_UP = 1.5                              # a run given up would have taken so much longer
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP = 500 * MS
 RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
@@ -310,7 +309,7 @@
         """Nobody waits for it any more: stop its work where the host can, so that no core is held in vain."""
         if ex.state is State.RUNNING:
             self._move(ex, State.ORPHANED)
-            self.spans[ex.group.index].add(self.now, GIVEN_UP * ex.on_cores)    # lets a stuck node see it
+            self.spans[ex.group.index].add(self.now, ex.on_cores)  # or a stuck node would not see it
             if self.limits.stop_kind is not StopKind.NONE:
                 self.host.stop(ex)
         elif ex.state in (State.AT_CALL, State.CALLING):
