Close idle connections sooner from Reap on; read only the settings in use

Reap had nothing to do; a table of idle connections takes a part of the cores. Settings that no decision reads are gone from NodeLimits. 477 lines.

--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -108,13 +108,10 @@
     cold_from: float  # share of full speed that a cold node starts at
     cold_time: int
     crowd_multiple: float  # running exchanges a core that a warm node survives
-    crowd_window: int
     drain_grace: int
-    answer_slack: int
     max_retry_after: int  # 0: callers take no such advice
     stop_kind: StopKind
     peers: int
-    callers: int
     below: Below
     call_share: float  # mean calls in the hands of what lies below; 0: no bound
     call_window: int
@@ -122,9 +119,7 @@
     fresh: int  # how long an answer may serve other reads; 0: never
     idle: int
     advice: AdviceKind
-    real_checks: bool
     over_share: float  # benefit of an exchange above its tenant's share
-    tick: int
     groups: list[EndpointGroup]
     tenants: list[Tenant]
 
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -43,6 +43,7 @@
 LATENCY_SLACK = 0.1
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
+REAP_IDLE = 0.3                             # of the usual time, for idle connections from REAP on
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -123,11 +124,6 @@
     return stage
 
 
-def place(value: float, row: tuple[float, ...]) -> float:
-    """Where a signal stands between REORDER (0) and BACKPRESSURE (1)."""
-    return min(1.0, max(0.0, (value - row[2]) / (row[3] - row[2])))
-
-
 class Keel:
     """The decisions of one node, from its start to its end."""
 
@@ -153,12 +149,9 @@
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
         self.calls_time = Ring()                                # call time spent below
-        self.calls_booked = 0
-        self.calls_failed = 0
-        self.trial_at = 0
+        self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
-        self.advice = -1.0
-        self.willing = 1.0
+        self.advice, self.willing, self.reaping = -1.0, 1.0, False
         host.set_health(True, True)                             # from store: a real check costs work
         if limits.cold:
             self._advise()
@@ -267,7 +260,9 @@
 
     def _cut(self, depth: float) -> float:
         """The rank below which an exchange is low: it rises with the signals from REORDER to BACKPRESSURE."""
-        return CUT_MOST * max(place(depth, DEPTH), place(self.latency.mean(self.now, 0.0), LATENCY))
+        signals = ((depth, DEPTH), (self.latency.mean(self.now, 0.0), LATENCY))
+        position = max((value - row[2]) / (row[3] - row[2]) for value, row in signals)
+        return CUT_MOST * min(1.0, max(0.0, position))
 
     def _expected(self, group: int) -> int:
         """How long an exchange of the group would take, behind what is held."""
@@ -401,6 +396,10 @@
             self.memory_kb -= self.limits.key_kb
         self._set_ranks()
         self._advise()
+        reaping = max(self.cpu_stage, self.depth_stage, self.latency_stage) >= Stage.REAP
+        if reaping is not self.reaping:         # a table of idle connections takes a part of the cores
+            self.reaping = reaping
+            self.host.close_idle(int(REAP_IDLE * self.limits.idle) if reaping else 0)
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
     def _alarm(self, ex: Exchange, at: int) -> None:
--- a/oakkeel/simhost/instance.py
+++ b/oakkeel/simhost/instance.py
@@ -47,9 +47,7 @@
         _, _, ident, group, _, _, memory_kb, bits, caller, left, tenant, backlog, key, earlier = fields
         limits = self.limits
         if group >= len(limits.groups) or ident in self.exchanges:
-            wire.fail(
-                f"exchange {ident} on instance {self.number}: id used before, or group {group} unknown"
-            )
+            wire.fail(f"exchange {ident} on instance {self.number}: id used before, or group {group} unknown")
         row = limits.groups[group]
         ex = Exchange(
             group=row,
--- a/oakkeel/simhost/settings.py
+++ b/oakkeel/simhost/settings.py
@@ -72,13 +72,10 @@
         cold_from=pairs.number("obligations.cold-from", 1.0),
         cold_time=pairs.time("obligations.cold"),
         crowd_multiple=pairs.needed_number("obligations.fall-multiple"),
-        crowd_window=pairs.time("obligations.overload-for"),
         drain_grace=pairs.time("obligations.drain-grace"),
-        answer_slack=pairs.time("obligations.grace-to-answer"),
         max_retry_after=pairs.time("ceilings.max-retry-after") if pairs.flag("ceilings.retry-after") else 0,
         stop_kind=pairs.choice("extra.halt", STOPS, "silent"),
         peers=max(1, int(pairs.number("peers-total", 1))),
-        callers=max(1, int(pairs.number("extra.callers", 1))),
         below=pairs.choice("extra.depends-on", BELOW, "silent"),
         call_share=pairs.number("extra.call-share"),
         call_window=pairs.time("extra.dep-window"),
@@ -86,9 +83,7 @@
         fresh=pairs.time("extra.fresh"),
         idle=pairs.time("extra.idle"),
         advice=pairs.choice("extra.say", ADVICE, "silent"),
-        real_checks=pairs.flag("extra.real-checks"),
         over_share=pairs.number("over-share-worth", 1.0),
-        tick=pairs.time("tick"),
         groups=[_group(pairs, index) for index in range(int(pairs.needed_number("classes.count")))],
         tenants=[
             Tenant(index, pairs.number(f"tenants.{index}.allowance-per-s"))
--- a/oakkeel/simhost/table.py
+++ b/oakkeel/simhost/table.py
@@ -29,7 +29,7 @@
         }
 
     def batch(self, number: int, clock: int, count: int, body: bytes) -> bytes:
-        """Hand out the records of a batch, settle each instance that had one, and return the reply's frame."""
+        """Hand out the records of a batch, settle each instance that had one, and return the reply."""
         touched: dict[int, Instance] = {}
         self.tail = count * wire.EVENT_SIZE
         for offset in range(0, self.tail, wire.EVENT_SIZE):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -228,6 +228,18 @@
         recovered = host.in_state([host.arrive() for _ in range(12)], State.HELD)
         self.assertLess(len(stuck), len(recovered))
 
+    def test_idle_connections_close_sooner_while_the_node_reaps(self):
+        host = FakeHost()
+        host.gauges.core_busy = 0.85
+        host.run_until(host.now + SECOND)
+        host.gauges.core_busy = 0.2
+        host.run_until(host.now + 3 * SECOND)
+        closed = [wish[1] for wish in host.said if wish[0] == "close_idle"]
+        self.assertEqual(len(closed), 2)
+        self.assertLess(0, closed[0])
+        self.assertLess(closed[0], host.limits.idle)
+        self.assertEqual(closed[1], 0)
+
     def test_advice_falls_poll_by_poll_while_the_node_is_full(self):
         host = FakeHost(advice=AdviceKind.SHARE)
         for _ in range(4):
