Wish no other try where low rank is shed; allow it where the node is at fault

Cause: in a flood every node sheds the same low ranks, and a denial that did not ask to stop was walked through the list, read at each node. Denials of low rank now carry that wish; those for drain, memory, a full or slow node don't, except to later tries. Covers floods of one tenant and bursts; may hurt one node alone in trouble whose depth grows.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -56,7 +56,6 @@
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD = 2.0
 ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 0.8, 1.15, 0.05
-ERRING = 0.25                               # of runs end in error: deny as many, their callers may do better
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
@@ -142,8 +141,6 @@
         self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
-        self.errors = Ring()                                    # runs that ended in error
-        self.erring = 0.0                                       # their share, where it is large
         self.latency = Ring()                                   # time to completion over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
@@ -187,7 +184,7 @@
         after_grace = self.grace_end and now - ex.backlog > self.grace_end - DUE_ROOM
         full = self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM
         if after_grace or full or ex.give_up_at <= now:
-            return self._deny(ex)
+            return self._deny(ex, ex.give_up_at <= now)
         # The ladder.
         depth = self._depth()
         self.depth_stage = climb(self.depth_stage, depth, DEPTH, DEPTH_SLACK)
@@ -195,8 +192,8 @@
         if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
             stage = max(stage, self.cpu_stage)
         if stage == Stage.REJECT or now + self._expected(group.index) > min(ex.slo_end, ex.give_up_at):
-            return self._deny(ex)
-        if stage >= Stage.REORDER and ex.rank < self._cut(depth) or self.chance() < self.erring:
+            return self._deny(ex, ex.marked_retry)
+        if stage >= Stage.REORDER and ex.rank < self._cut(depth):
             return self._deny(ex)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
@@ -283,9 +280,9 @@
 
     # Answers.
 
-    def _deny(self, ex: Exchange) -> None:
-        """Answer at once, with when to come back."""
-        self.host.deny(ex, ex.marked_retry, self._retry_after())
+    def _deny(self, ex: Exchange, last: bool = True) -> None:
+        """Answer at once, with when to come back and whether a try elsewhere is worth its reading."""
+        self.host.deny(ex, last, self._retry_after())
         if ex.kept:
             ex.kept = False
             self.host.forget(ex)
@@ -318,7 +315,7 @@
 
     def _retry_after(self) -> int:
         """When to return: soon where only low ranks are shed, as a caller stays away with all that it has."""
-        crowd = 1.0 if self.depth_stage == Stage.REJECT or self.erring else min(1.0, self.reading / self.limits.cores) ** 3
+        crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores) ** 3
         return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
 
     @staticmethod
@@ -360,8 +357,6 @@
         if outcome is Outcome.STOPPED and state in (State.RUNNING, State.AT_CALL, State.CALLING):
             self.host.terminate(ex)             # stopped, but not by us: it must not stay without an answer
         self._move(ex, State.OVER)
-        if state is State.RUNNING:
-            self.errors.add(now, outcome is Outcome.ERROR)
         if outcome is Outcome.COMPLETED and state is State.RUNNING:
             self.spans[ex.group.index].add(now, ex.on_cores)
             self.latency.add(now, (now - ex.arrived + ex.backlog) / ex.group.slo_time)
@@ -399,8 +394,6 @@
         while self.keys and self.keys[0] <= now:
             heappop(self.keys)
             self.memory_kb -= self.limits.key_kb
-        share = self.errors.mean(now, 0.0)
-        self.erring = share if share >= ERRING else 0.0
         self._set_ranks()
         self._advise()
         reaping = max(self.cpu_stage, self.depth_stage, self.latency_stage) >= Stage.REAP
