--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -54,8 +54,8 @@
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest is for what comes in
 HOLD_ROOM = 0.95
 # Advice: moved each poll by what wants a core, for each core.
-ADVICE_CROWD = 2.0
-ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 0.8, 1.15, 0.05
+ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
+UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
@@ -66,7 +66,6 @@
 TRIAL_EVERY = SECOND
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
-SLO_ROOM = 5 * MS
 VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; others take one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
@@ -151,10 +150,10 @@
         self.calls_time = Ring()                                # call time spent below
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
-        self.advice, self.willing, self.reaping = -1.0, 1.0, False
+        self.advice, self.willing, self.fit = -1.0, 1.0, True
+        self.unread = Ring()                                    # time unread over the SLO time
         host.set_health(True, True)                             # from store: a real check costs work
-        if limits.cold:
-            self._advise()
+        self._advise()
         host.set_timer(POLL_TOKEN, now + int(POLL * (0.5 + self.chance() / 2)))
 
     # The ordinary path.
@@ -169,9 +168,10 @@
         ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
         ex.give_up_at = ex.due - DUE_ROOM
         if not group.late_share:
-            ex.give_up_at = min(ex.give_up_at, ex.slo_end - SLO_ROOM)
+            ex.give_up_at = min(ex.give_up_at, ex.slo_end)
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
+        self.unread.add(now, ex.backlog / group.slo_time)
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
@@ -352,8 +352,7 @@
         state = ex.state
         if state is State.OVER or outcome is Outcome.MOOT:
             return
-        if state in (State.AT_CALL, State.CALLING):
-            self._end_call(ex, 0)
+        self._end_call(ex, 0)
         if outcome is Outcome.STOPPED and state in (State.RUNNING, State.AT_CALL, State.CALLING):
             self.host.terminate(ex)             # stopped, but not by us: it must not stay without an answer
         self._move(ex, State.OVER)
@@ -396,10 +395,11 @@
             self.memory_kb -= self.limits.key_kb
         self._set_ranks()
         self._advise()
-        reaping = max(self.cpu_stage, self.depth_stage, self.latency_stage) >= Stage.REAP
-        if reaping is not self.reaping:         # a table of idle connections takes a part of the cores
-            self.reaping = reaping
-            self.host.close_idle(int(REAP_IDLE * self.limits.idle) if reaping else 0)
+        # One that reads too late can't even deny in time: only callers that leave it out help.
+        self.fit = not self.stop_at and self.unread.mean(now, 0.0) < (UNFIT if self.fit else UNFIT / 2)
+        self.host.set_health(self.fit, True)
+        reap = max(self.cpu_stage, self.depth_stage, self.latency_stage) >= Stage.REAP
+        self.host.close_idle(int(REAP_IDLE * self.limits.idle) if reap else 0)   # a table takes of the cores
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
     def _alarm(self, ex: Exchange, at: int) -> None:
@@ -450,12 +450,11 @@
         crowd = self.reading / self.limits.cores + self._depth()
         step = ADVICE_DOWN if crowd > ADVICE_CROWD else ADVICE_UP
         self.willing = min(1.0, max(ADVICE_LEAST, self.willing * step))
-        if kind is AdviceKind.LEVEL:
-            value = cut
-        elif kind is AdviceKind.SHARE:
-            value = ADVICE_LEAST if self.stop_at else min(self.willing, self._warmth())
-        else:
-            value = max(1.0, DEPTH[4] * self.limits.cores * (1 - cut))
+        value = {
+            AdviceKind.LEVEL: cut,
+            AdviceKind.SHARE: ADVICE_LEAST if self.stop_at else min(self.willing, self._warmth()),
+            AdviceKind.WINDOW: max(1.0, DEPTH[4] * self.limits.cores * (1 - cut)),
+        }[kind]
         if value != self.advice:
             self.advice = value
             self.host.advise(value)
