Admit what fits seven tenths of the expected time

Sizes vary, so half of what looks a little too long ends in time. Covers misjudged times of all kinds; may hurt on nodes that are slowed for long.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -42,6 +42,7 @@
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
+HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 REAP_IDLE = 0.3                             # of the usual time, for idle connections from REAP on
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
@@ -191,7 +192,7 @@
         stage = max(self.depth_stage, self.latency_stage)
         if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
             stage = max(stage, self.cpu_stage)
-        if stage == Stage.REJECT or now + self._expected(group.index) > min(ex.slo_end, ex.give_up_at):
+        if stage == Stage.REJECT or now + int(HOPE * self._expected(group.index)) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
             return self._deny(ex)
