Fit the call ring to its rule, rate tenants from the start, bound shares by memory

Found by reading: the ring of call times covered six seconds whatever window the rule names; a young node spread its first arrivals over six seconds and saw no tenant over its share; repeats were shared without a look at the memory. Covers longer windows, cold successors in a flood and floods of one key.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -37,7 +37,7 @@
 CPU = (0.70, 0.80, 0.85, 0.90, 0.95)        # busy share of the cores
 CPU_SLACK = 0.05
 CPU_QUEUE = (0.0, 0.0, 1.0, 1.0, 3.0)       # a CPU stage acts only while the depth exceeds this
-DEPTH = (0.75, 1.0, 1.25, 1.75, 3.0)         # exchanges in the hold and on the cores, for each core
+DEPTH = (0.75, 1.0, 1.25, 1.75, 3.0)        # exchanges in the hold and on the cores, for each core
 DEPTH_SLACK = 0.25
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
@@ -71,7 +71,7 @@
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP = 500 * MS
-RING_SIZE = 12                              # with the step: no shorter than the window of the calls rule
+RING_SIZE = 12
 POLL_TOKEN = 0
 
 # Which states may follow each.
@@ -90,15 +90,16 @@
 class Ring:
     """Sums and counts over the last few seconds, in buckets of time that are used again."""
 
-    __slots__ = ("sums", "counts", "marks")
+    __slots__ = ("step", "sums", "counts", "marks")
 
-    def __init__(self) -> None:
+    def __init__(self, step: int = RING_STEP) -> None:
+        self.step = step
         self.sums = [0.0] * RING_SIZE
         self.counts = [0] * RING_SIZE
         self.marks = [0] * RING_SIZE
 
     def add(self, now: int, value: float) -> None:
-        mark = now // RING_STEP
+        mark = now // self.step
         place = mark % RING_SIZE
         if self.marks[place] != mark:
             self.marks[place], self.sums[place], self.counts[place] = mark, 0.0, 0
@@ -106,7 +107,7 @@
         self.counts[place] += 1
 
     def total(self, now: int) -> tuple[float, int]:
-        oldest = now // RING_STEP - RING_SIZE
+        oldest = now // self.step - RING_SIZE
         live = [place for place in range(RING_SIZE) if self.marks[place] > oldest]
         return sum(self.sums[place] for place in live), sum(self.counts[place] for place in live)
 
@@ -148,7 +149,7 @@
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
-        self.calls_time = Ring()                                # call time spent below
+        self.calls_time = Ring(limits.call_window // (RING_SIZE - 1) + 1)   # call time spent below
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice, self.willing, self.fit = -1.0, 1.0, True
@@ -177,13 +178,13 @@
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
         ex.rank = below + breadth * self.chance()
+        full = self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM
         # One that repeats another takes its result: no second effect, and a twentieth of the work.
-        if ex.repeats and (group.effect is not Effect.REPEATABLE or limits.fresh):
+        if ex.repeats and (self._once(ex) or limits.fresh and not full):
             self._move(ex, State.SHARING)
             self.host.share(ex)
             return self._alarm(ex, ex.give_up_at)
         after_grace = self.grace_end and now - ex.backlog > self.grace_end - DUE_ROOM
-        full = self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM
         if after_grace or full or ex.give_up_at <= now:
             return self._deny(ex, ex.give_up_at <= now)
         # The ladder.
@@ -192,7 +193,7 @@
         stage = max(self.depth_stage, self.latency_stage)
         if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
             stage = max(stage, self.cpu_stage)
-        if stage == Stage.REJECT or now + int(HOPE * self._expected(group.index)) > min(ex.slo_end, ex.give_up_at):
+        if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
             return self._deny(ex)
@@ -265,11 +266,11 @@
         position = max((value - row[2]) / (row[3] - row[2]) for value, row in signals)
         return CUT_MOST * min(1.0, max(0.0, position))
 
-    def _expected(self, group: int) -> int:
-        """How long an exchange of the group would take, behind what is held."""
-        span = sum(self.span) / len(self.span)
+    def _needed(self, group: int) -> int:
+        """The time that an exchange of the group must have left, behind what is held."""
         held = self.count[State.HELD] + self.count[State.DELAYED]
-        return int(self.span[group] + span * held / (RUN[1] * self.limits.cores))
+        wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
+        return int(HOPE * (self.span[group] + wait))
 
     def _warmth(self) -> float:
         """The least share of full speed that the node may have by now."""
@@ -428,7 +429,7 @@
         limits, now, rows = self.limits, self.now, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(now)[1] for rings in self.asked]
-            rate = sum(counts) * SECOND / (RING_SIZE * RING_STEP)
+            rate = sum(counts) * SECOND / min(RING_SIZE * RING_STEP, max(1, now - self.started))
             allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
             within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
@@ -437,8 +438,8 @@
         rows.sort()
         total = sum(row[3] for row in rows) or 1
         below = 0
-        for _, group, tenant, number in rows:
-            self.ranks[group][tenant] = (below / total, number / total)
+        for _, index, tenant, number in rows:
+            self.ranks[index][tenant] = (below / total, number / total)
             below += number
 
     def _advise(self) -> None:
