--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -425,7 +425,7 @@
                 self._admit(ex)
 
     def _set_ranks(self) -> None:
-        """Give each endpoint group and tenant its place among what is asked, the least benefit first."""
+        """Give each endpoint group and tenant its place, the least benefit for its time first."""
         limits, now, rows = self.limits, self.now, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(now)[1] for rings in self.asked]
@@ -434,7 +434,8 @@
             within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
             for group in limits.groups:
-                rows.append((group.benefit * worth, group.index, tenant, counts[group.index]))
+                density = group.benefit * worth / max(1, self.span[group.index])
+                rows.append((density, group.index, tenant, counts[group.index]))
         rows.sort()
         total = sum(row[3] for row in rows) or 1
         below = 0
