--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -84,7 +84,6 @@
     async_timeout: int
     window: int  # a deduplicated exchange may come again within this
     late_share: float  # of the benefit, for an answer after the SLO time
-    calls: bool  # its exchanges may call what lies below
     skip_share: float  # of the benefit, where a call is left out
 
 
@@ -139,8 +138,6 @@
     repeats: bool  # it repeats an exchange that the host remembers
 
     state: State = State.READ
-    ran: bool = False
-    due: int = 0  # the last moment for its answer
     slo_end: int = 0
     give_up_at: int = 0
     since: int = 0  # when it entered its state
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -166,9 +166,8 @@
         group, limits = ex.group, self.limits
         tenant = ex.tenant.index if ex.tenant else 0
         left = ex.left or max(0, group.async_timeout - ex.backlog)
-        ex.due = now + left
         ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
-        ex.give_up_at = ex.due - DUE_ROOM
+        ex.give_up_at = now + left - DUE_ROOM
         if not group.late_share:
             ex.give_up_at = min(ex.give_up_at, ex.slo_end)
         if self.stop_at:
@@ -212,9 +211,8 @@
         while self.waiting and self._place_call(self.waiting[0]):
             self.waiting.popleft()
         limits = self.limits
-        stage = max(self.cpu_stage, self.depth_stage, self.latency_stage)
         room = RUN_QUEUE - self.reading / limits.cores
-        run = max(RUN_LEAST, min(RUN[stage >= Stage.EXPAND], room)) * limits.cores
+        run = max(RUN_LEAST, min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
         crowd = (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
         while self.hold:
             ex = self.hold[0][2]
@@ -251,10 +249,13 @@
 
     # What the ladder goes by.
 
+    def _stage(self) -> int:
+        return max(self.cpu_stage, self.depth_stage, self.latency_stage)
+
     def _depth(self) -> float:
         """In the hold and on the cores, for each core; those at calls have a bound of their own."""
-        count = self.count
-        return (count[State.DELAYED] + count[State.HELD] + self._on_cores()) / self.limits.cores
+        held = self.count[State.DELAYED] + self.count[State.HELD]
+        return (held + self._on_cores()) / self.limits.cores
 
     def _on_cores(self) -> int:
         """Runs, and those whose call we have not placed: these wait on us, not on what lies below."""
@@ -292,7 +293,7 @@
 
     def _give_up(self, ex: Exchange) -> None:
         """Answer at once what can no longer be in time, and stop its work where the host can."""
-        if ex.state in (State.READ, State.DELAYED, State.HELD):
+        if ex.state in (State.DELAYED, State.HELD):
             return self._deny(ex)
         if ex.state in (State.ORPHANED, State.ENDING, State.OVER):
             return
@@ -331,8 +332,6 @@
             raise RuntimeError(f"an exchange can't go from {old.name} to {state.name}")
         if old is State.RUNNING:
             ex.on_cores += self.now - ex.since
-        if state is State.RUNNING:
-            ex.ran = True
         self.count[old] -= 1
         self.count[state] += 1
         self.memory_kb += ex.memory_kb * (self.weight[state] - self.weight[old])
@@ -400,7 +399,7 @@
         # One that reads too late can't even deny in time: only callers that leave it out help.
         self.fit = not self.stop_at and self.unread.mean(now, 0.0) < (UNFIT if self.fit else UNFIT / 2)
         self.host.set_health(self.fit, True)
-        reap = max(self.cpu_stage, self.depth_stage, self.latency_stage) >= Stage.REAP
+        reap = self._stage() >= Stage.REAP
         self.host.close_idle(int(REAP_IDLE * self.limits.idle) if reap else 0)   # a table takes of the cores
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
--- a/oakkeel/simhost/settings.py
+++ b/oakkeel/simhost/settings.py
@@ -104,6 +104,5 @@
         async_timeout=async_timeout,
         window=pairs.time(path + "window"),
         late_share=pairs.number(path + "late-worth"),
-        calls=pairs.entry("extra.calls-by-class", index, "false") == "true",
         skip_share=float(pairs.entry("extra.class-skip-worth", index, "0")),
     )
--- a/oakkeel/simhost/table.py
+++ b/oakkeel/simhost/table.py
@@ -42,27 +42,20 @@
                 touched[who] = instance
             else:
                 touched.pop(who, None)
-        for who in touched:
-            self._guarded(who, self._settle, clock, body, who)
-        frame = self.reply.frame(number)
-        self.reply.records.clear()
-        self.reply.texts.clear()
-        self.reply.text_size = 0
-        return frame
+        for who, instance in touched.items():
+            self._guarded(who, instance.keel.settle, clock)
+        return self.reply.frame(number)
 
-    def _guarded(self, who: int, handler: Callable, clock: int, body: bytes, offset: int) -> Instance | None:
+    def _guarded(self, who: int, act: Callable[..., Instance | None], *words) -> Instance | None:
         """Declare what the decisions raise on the wire; a frame that can't be read goes on up."""
         try:
-            return handler(clock, body, offset)
+            return act(*words)
         except (wire.WireError, UnicodeDecodeError):
             raise
         except Exception as error:  # whatever the module raises ends the day with its text
             self.reply.add_text(wire.INTERNAL_ERROR, who, f"{type(error).__name__}: {error}")
             return None
 
-    def _settle(self, clock: int, _body: bytes, who: int) -> None:
-        self.instances[who].keel.settle(clock)
-
     def _instance(self, who: int) -> Instance:
         return self.instances.get(who) or wire.fail(f"event for unknown instance {who}")
 
--- a/oakkeel/simhost/wire.py
+++ b/oakkeel/simhost/wire.py
@@ -102,5 +102,10 @@
         self.text_size += len(data)
 
     def frame(self, number: int) -> bytes:
+        """The frame of all that was added; the reply is empty again after it."""
         body = b"".join(self.records) + b"".join(self.texts)
-        return REPLY_HEADER.pack(number, REPLY_REST + len(body), len(self.records)) + body
+        frame = REPLY_HEADER.pack(number, REPLY_REST + len(body), len(self.records)) + body
+        self.records.clear()
+        self.texts.clear()
+        self.text_size = 0
+        return frame
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -51,7 +51,6 @@
     async_timeout=5 * SECOND,
     window=5 * SECOND,
     late_share=0,
-    calls=False,
     skip_share=0,
 )
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -57,7 +57,7 @@
 
 class AnswerStories(unittest.TestCase):
     def test_held_running_and_calling_are_all_answered_before_they_are_due(self):
-        host = FakeHost(groups=[{"calls": True}], below=Below.TIER)
+        host = FakeHost(groups=[{}], below=Below.TIER)
         exchanges = [host.arrive(left=1500 * MS) for _ in range(9)]
         host.at_call(exchanges[0])
         host.run_until(host.now + 1490 * MS)
@@ -112,7 +112,7 @@
 
     def test_a_call_of_a_mutating_exchange_is_resent_only_when_it_never_ran(self):
         for outcome, calls in ((Outcome.UNREACHED, 2), (Outcome.RESET, 1)):
-            host = FakeHost(groups=[{"effect": Effect.MUTATING, "calls": True}], below=Below.TIER)
+            host = FakeHost(groups=[{"effect": Effect.MUTATING}], below=Below.TIER)
             ex = host.arrive()
             host.at_call(ex)
             host.call_done(ex, outcome)
@@ -154,7 +154,7 @@
         self.assertIn("deny", host.words(repeats[-1]))
 
     def test_the_calls_rule_holds_over_a_long_window(self):
-        host = FakeHost(groups=[{"calls": True}], below=Below.SHARED, call_share=0.2, call_window=20 * SECOND)
+        host = FakeHost(groups=[{}], below=Below.SHARED, call_share=0.2, call_window=20 * SECOND)
         spent = 0
         for _ in range(120):
             ex = host.arrive()
@@ -169,7 +169,7 @@
         self.assertLess(spent, 0.2 * max(host.now - SECOND, host.limits.call_window))
 
     def test_a_cold_node_keeps_runs_and_calls_under_its_smaller_crowd(self):
-        host = FakeHost(groups=[{"calls": True}], below=Below.TIER, cold=True, crowd_multiple=2)
+        host = FakeHost(groups=[{}], below=Below.TIER, cold=True, crowd_multiple=2)
         exchanges = [host.arrive() for _ in range(40)]
         for ex in exchanges:
             host.at_call(ex)
@@ -179,7 +179,7 @@
 
     def test_calls_in_hand_stay_under_a_share_below_one(self):
         host = FakeHost(
-            groups=[{"calls": True}], below=Below.SHARED, call_share=0.4, stop_kind=StopKind.SUSPEND
+            groups=[{}], below=Below.SHARED, call_share=0.4, stop_kind=StopKind.SUSPEND
         )
         spent = 0
         for _ in range(100):
@@ -196,7 +196,7 @@
         self.assertLess(spent / (host.now - SECOND), 0.4)
 
     def test_failures_in_a_row_stop_calls_until_a_single_trial(self):
-        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.TIER)
+        host = FakeHost(groups=[{"skip_share": 0.5}], below=Below.TIER)
         for _ in range(8):
             ex = host.arrive()
             host.at_call(ex)
@@ -211,7 +211,7 @@
 
     def test_a_call_waits_for_room_before_it_is_left_out(self):
         # Leaving calls out at the first full moment gave up half the benefit for a wait of milliseconds.
-        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.SHARED, call_share=1)
+        host = FakeHost(groups=[{"skip_share": 0.5}], below=Below.SHARED, call_share=1)
         first, second = host.arrive(), host.arrive()
         host.at_call(first)
         host.at_call(second)
@@ -221,7 +221,7 @@
 
     def test_a_call_ends_in_time_to_go_on_without_it(self):
         # Calls through a dead dispatcher hung until nothing could be done in time without them.
-        host = FakeHost(groups=[{"calls": True, "skip_share": 0.5}], below=Below.TIER)
+        host = FakeHost(groups=[{"skip_share": 0.5}], below=Below.TIER)
         ex = host.arrive()
         host.at_call(ex)
         until = next(wish[2] for wish in host.said if wish[0] == "call")
