Close idle connections by their number a core, so that tables keep room

Change: over 20 connections a core (8 from Reap on) idle ones close after the time in which that many could come at the rate read; under half of it the time doubles back. Folds the old Reap time into it. Covers any crowd of seldom callers and hot nodes; may hurt where a handshake costs more than a place in the table for that time.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -44,7 +44,8 @@
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-REAP_IDLE = 0.3                             # of the usual time, for idle connections from REAP on
+LINKS = (20, 8)                             # open connections for each core, below REAP and from it on
+LINK_LEAST = 10 * MS                        # a connection stays open for this long after it carried something
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -62,16 +63,14 @@
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
 CALL_TIME = 0.25                            # of the SLO time, for one call
 CALL_WAIT = 0.15                            # of the SLO time, for room to place a call that may be left out
-CALL_TRIES = 3
-BREAK_AFTER = 5                             # failures in a row
+CALL_TRIES, BREAK_AFTER = 3, 5              # tries of one call; failures in a row that stop all calls
 TRIAL_EVERY = SECOND
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
 VOTE_FOR, VOTES_NEEDED, VOTES_MOST = 4, 32, 256     # for a caller's usual wait; others take one vote
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
-RING_STEP = 500 * MS
-RING_SIZE = 12
+RING_STEP, RING_SIZE = 500 * MS, 12
 POLL_TOKEN = 0
 
 # Which states may follow each.
@@ -93,10 +92,8 @@
     __slots__ = ("step", "sums", "counts", "marks")
 
     def __init__(self, step: int = RING_STEP) -> None:
-        self.step = step
-        self.sums = [0.0] * RING_SIZE
-        self.counts = [0] * RING_SIZE
-        self.marks = [0] * RING_SIZE
+        self.step, self.sums = step, [0.0] * RING_SIZE
+        self.counts, self.marks = [0] * RING_SIZE, [0] * RING_SIZE
 
     def add(self, now: int, value: float) -> None:
         mark = now // self.step
@@ -142,7 +139,7 @@
         self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
-        self.latency = Ring()                                   # time to completion over the SLO time
+        self.latency, self.unread = Ring(), Ring()              # to completion, unread, over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
         self.usual_wait: dict[tuple[int, int], list[int]] = {}  # and its votes, by caller and endpoint group
@@ -153,7 +150,7 @@
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice, self.willing, self.fit = -1.0, 1.0, True
-        self.unread = Ring()                                    # time unread over the SLO time
+        self.link_time = limits.idle
         host.set_health(True, True)                             # from store: a real check costs work
         self._advise()
         host.set_timer(POLL_TOKEN, now + int(POLL * (0.5 + self.chance() / 2)))
@@ -233,11 +230,8 @@
         heappush(self.hold, (-ex.rank, next(self.order), ex))
 
     def _age(self, ex: Exchange, wait: int) -> int:
-        """How long an exchange had been under way when it came, told by the wait that its caller stated.
-
-        First tries of a caller state much the same wait, found by a vote. One that states less has used the
-        difference up; one that states more is a later try with the rest of the whole async timeout before it.
-        """
+        """How long it had been under way when it came. First tries of a caller state much the same wait,
+        found by a vote; less has used the difference up, more is a later try with all the rest before it."""
         vote = self.usual_wait.setdefault((ex.caller, ex.group.index), [wait, 0])
         same = abs(wait - vote[0]) * 64 <= vote[0]
         vote[1] = min(VOTES_MOST, vote[1] + VOTE_FOR) if same else vote[1] - 1
@@ -273,6 +267,9 @@
         wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
         return int(HOPE * (self.span[group] + wait))
 
+    def _watched(self) -> int:
+        return min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
+
     def _warmth(self) -> float:
         """The least share of full speed that the node may have by now."""
         limits = self.limits
@@ -295,13 +292,12 @@
         """Answer at once what can no longer be in time, and stop its work where the host can."""
         if ex.state in (State.DELAYED, State.HELD):
             return self._deny(ex)
-        if ex.state in (State.ORPHANED, State.ENDING, State.OVER):
-            return
-        if self._once(ex):
-            self.host.terminate(ex)
-        else:
-            self.host.deny(ex, True, self._retry_after())
-        self._abandon(ex)
+        if ex.state < State.ORPHANED:
+            if self._once(ex):
+                self.host.terminate(ex)
+            else:
+                self.host.deny(ex, True, self._retry_after())
+            self._abandon(ex)
 
     def _abandon(self, ex: Exchange) -> None:
         """Nobody waits for it any more: stop its work where the host can, so that no core is held in vain."""
@@ -313,7 +309,7 @@
         elif ex.state in (State.AT_CALL, State.CALLING):
             self._end_call(ex, self.limits.call_linger)
             self._move(ex, State.ENDING)
-        elif ex.state not in (State.ORPHANED, State.ENDING, State.OVER):
+        elif ex.state < State.ORPHANED:
             self._move(ex, State.OVER)
 
     def _retry_after(self) -> int:
@@ -399,10 +395,20 @@
         # One that reads too late can't even deny in time: only callers that leave it out help.
         self.fit = not self.stop_at and self.unread.mean(now, 0.0) < (UNFIT if self.fit else UNFIT / 2)
         self.host.set_health(self.fit, True)
-        reap = self._stage() >= Stage.REAP
-        self.host.close_idle(int(REAP_IDLE * self.limits.idle) if reap else 0)   # a table takes of the cores
+        self._trim(gauges.connections)
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
+    def _trim(self, links: float) -> None:
+        """Close idle connections so soon that the table has room: a full one takes of the cores and turns
+        callers away unseen. What comes opens one connection at most, so the rate bounds those idle."""
+        room = LINKS[self._stage() >= Stage.REAP] * self.limits.cores
+        if links > room:
+            enough = int(room * self._watched() / max(1, self.unread.total(self.now)[1]))
+            self.link_time = min(self.link_time, max(LINK_LEAST, enough))
+        elif links < room / 2:
+            self.link_time = min(self.limits.idle, 2 * self.link_time)
+        self.host.close_idle(self.link_time)
+
     def _alarm(self, ex: Exchange, at: int) -> None:
         """Look at the exchange again at a time: one timer serves all alarms of a step."""
         step = max(at // ALARM_STEP, self.now // ALARM_STEP + 1)
@@ -418,17 +424,14 @@
             if ex.group.skip_share and self.now >= ex.since + CALL_WAIT * ex.group.slo_time:
                 self._leave_out(ex)
         elif ex.state is State.DELAYED:
-            if self.depth_stage == Stage.REJECT:
-                self._deny(ex)
-            else:
-                self._admit(ex)
+            (self._deny if self.depth_stage == Stage.REJECT else self._admit)(ex)
 
     def _set_ranks(self) -> None:
         """Give each endpoint group and tenant its place, the least benefit for its time first."""
-        limits, now, rows = self.limits, self.now, []
+        limits, rows = self.limits, []
         for tenant in range(len(self.asked[0])):
-            counts = [rings[tenant].total(now)[1] for rings in self.asked]
-            rate = sum(counts) * SECOND / min(RING_SIZE * RING_STEP, max(1, now - self.started))
+            counts = [rings[tenant].total(self.now)[1] for rings in self.asked]
+            rate = sum(counts) * SECOND / self._watched()
             allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
             within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
