--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -150,7 +150,7 @@
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice, self.willing, self.fit = -1.0, 1.0, True
-        self.link_time = limits.idle
+        self.link_time = min(limits.idle, POLL)
         host.set_health(True, True)                             # from store: a real check costs work
         self._advise()
         host.set_timer(POLL_TOKEN, now + int(POLL * (0.5 + self.chance() / 2)))
