Count runs by whole ones

Cause: the bound was compared before the next run, so 1.17 a core let three run on two cores. Change: the next run must fit the bound; the figure is 1.34, which is the same eight on six cores and two on two.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -49,7 +49,7 @@
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
-RUN = (1.0, 1.17)
+RUN = (1.0, 1.34)
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.5                             # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
@@ -218,7 +218,7 @@
                 continue
             on_cores = self._on_cores()
             more = ex.memory_kb * (limits.run_factor - 1)
-            if (on_cores >= run or on_cores + self.count[State.CALLING] + 1 > crowd
+            if (on_cores + 1 > run or on_cores + self.count[State.CALLING] + 1 > crowd
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
             heappop(self.hold)
