--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -44,8 +44,10 @@
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-LINKS = (6, 3)                              # open connections for each core, below REAP and from it on
-LINK_LEAST = 10 * MS                        # a connection stays open for this long after it carried something
+LINKS = 20                                  # open connections for each core
+LINK_WORTH = (12 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
+LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
+CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -150,7 +152,8 @@
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice, self.willing, self.fit = -1.0, 1.0, True
-        self.link_time = min(limits.idle, POLL)
+        self.seen: dict[int, int] = {}                          # when callers were heard, the last ones last
+        self.returns = [Ring(2 * SECOND) for _ in range(LINK_STEPS + 1)]    # times between, by doubled steps
         host.set_health(True, True)                             # from store: a real check costs work
         self._advise()
         host.set_timer(POLL_TOKEN, now + int(POLL * (0.5 + self.chance() / 2)))
@@ -170,6 +173,7 @@
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
         self.unread.add(now, ex.backlog / group.slo_time)
+        self._heard(ex.caller)
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
@@ -229,6 +233,13 @@
         self._move(ex, State.HELD)
         heappush(self.hold, (-ex.rank, next(self.order), ex))
 
+    def _heard(self, caller: int) -> None:
+        gap = self.now - self.seen.pop(caller, 0)
+        self.seen[caller] = self.now
+        if len(self.seen) > CALLERS_MOST:
+            del self.seen[next(iter(self.seen))]
+        self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(self.now, gap)
+
     def _age(self, ex: Exchange, wait: int) -> int:
         """How long it had been under way when it came. First tries of a caller state much the same wait,
         found by a vote; less has used the difference up, more is a later try with all the rest before it."""
@@ -399,15 +410,20 @@
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
     def _trim(self, links: float) -> None:
-        """Close idle connections so soon that the table has room: a full one takes of the cores and turns
-        callers away unseen. What comes opens one connection at most, so the rate bounds those idle."""
-        room = LINKS[self._stage() >= Stage.REAP] * self.limits.cores
-        if links > room:
-            enough = int(room * self._watched() / max(1, self.unread.total(self.now)[1]))
-            self.link_time = min(self.link_time, max(LINK_LEAST, enough))
-        elif links < room / 2:
-            self.link_time = min(self.limits.idle, 2 * self.link_time)
-        self.host.close_idle(self.link_time)
+        """Close idle connections when those who return later don't pay for the places that all take: a full
+        table takes of the cores and turns callers away unseen. What comes opens one at most, so the rate
+        bounds those idle."""
+        totals = [ring.total(self.now) for ring in self.returns]
+        number = sum(count for _, count in totals)
+        worth, keep, best, back, paid = LINK_WORTH[self._stage() >= Stage.REAP], LINK_LEAST, 0.0, 0, 0.0
+        for step, (time, count) in enumerate(totals[:LINK_STEPS]):
+            back, paid = back + count, paid + time
+            net = worth * back - paid - (LINK_STEP << step) * (number - back)
+            if net > best:
+                best, keep = net, LINK_STEP << step
+        if links > LINKS * self.limits.cores:
+            keep = min(keep, int(LINKS * self.limits.cores * self._watched() / max(1, self.unread.total(self.now)[1])))
+        self.host.close_idle(max(LINK_LEAST, min(self.limits.idle, keep)))
 
     def _alarm(self, ex: Exchange, at: int) -> None:
         """Look at the exchange again at a time: one timer serves all alarms of a step."""
