--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -44,7 +44,7 @@
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-LINKS = 20                                  # open connections for each core
+LINK_RATE = 8                               # new connections a second that a core bears
 LINK_WORTH = (12 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
@@ -421,8 +421,7 @@
             net = worth * back - paid - (LINK_STEP << step) * (number - back)
             if net > best:
                 best, keep = net, LINK_STEP << step
-        if links > LINKS * self.limits.cores:
-            keep = min(keep, int(LINKS * self.limits.cores * self._watched() / max(1, self.unread.total(self.now)[1])))
+        keep = max(keep, int(links * SECOND / (LINK_RATE * self.limits.cores)))
         self.host.close_idle(max(LINK_LEAST, min(self.limits.idle, keep)))
 
     def _alarm(self, ex: Exchange, at: int) -> None:
