--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -44,7 +44,7 @@
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-LINK_RATE = 8                               # new connections a second that a core bears
+LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
 LINK_WORTH = (12 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
@@ -141,6 +141,7 @@
         self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
+        self.crowd = Ring()
         self.latency, self.unread = Ring(), Ring()              # to completion, unread, over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
@@ -390,6 +391,7 @@
         """The poll of the ladder, or a step of alarms."""
         self.now = now
         self.reading = max(0.0, gauges.run_queue - self._on_cores())
+        self.crowd.add(now, self.reading)
         if token != POLL_TOKEN:
             for ex in self.alarms.pop(token, ()):
                 self._ring(ex)
@@ -421,7 +423,8 @@
             net = worth * back - paid - (LINK_STEP << step) * (number - back)
             if net > best:
                 best, keep = net, LINK_STEP << step
-        keep = max(keep, int(links * SECOND / (LINK_RATE * self.limits.cores)))
+        if self.crowd.mean(self.now, 0.0) > LINK_CROWD * self.limits.cores:
+            keep = max(keep, int(links * SECOND / (LINK_RATE * self.limits.cores)))
         self.host.close_idle(max(LINK_LEAST, min(self.limits.idle, keep)))
 
     def _alarm(self, ex: Exchange, at: int) -> None:
