--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -69,7 +69,6 @@
 TRIAL_EVERY = SECOND
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
 DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
-WAITS_MOST, VOTES_NEEDED = 6, 8             # for the usual waits of an endpoint group
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP, RING_SIZE = 500 * MS, 12
@@ -145,7 +144,6 @@
         self.latency, self.unread = Ring(), Ring()              # to completion, unread, over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
-        self.waits: list[list[list[int]]] = [[] for _ in limits.groups]     # usual waits and their votes
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
@@ -167,7 +165,7 @@
         group, limits = ex.group, self.limits
         tenant = ex.tenant.index if ex.tenant else 0
         left = ex.left or max(0, group.async_timeout - ex.backlog)
-        ex.slo_end = now + group.slo_time - ex.backlog - self._age(ex, left + ex.backlog)
+        ex.slo_end = now + group.slo_time - ex.backlog
         ex.give_up_at = now + left - DUE_ROOM
         if not group.late_share:
             ex.give_up_at = min(ex.give_up_at, ex.slo_end)
@@ -241,25 +239,6 @@
             del self.seen[next(iter(self.seen))]
         self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(self.now, gap)
 
-    def _age(self, ex: Exchange, wait: int) -> int:
-        """How long it had been under way when it came, told by the wait that its caller stated: first tries
-        state one of few usual waits; less has used the difference up, more is a later try with all the rest."""
-        rows = self.waits[ex.group.index]
-        same = next((row for row in rows if abs(wait - row[0]) * 64 <= row[0]), None)
-        if same:
-            same[1] += 1
-        elif len(rows) < WAITS_MOST:
-            rows.append([wait, 1])
-        else:
-            for row in rows:
-                row[1] -= 1
-            rows[:] = [row for row in rows if row[1]]
-        needed = max(VOTES_NEEDED, sum(row[1] for row in rows) // 8)
-        usual = [row[0] for row in rows if row[1] >= needed]
-        if not usual or same and same[1] >= needed:
-            return 0        # waits that spread, as those from another tier do, tell no age
-        return min((time for time in usual if time > wait), default=ex.group.async_timeout) - wait
-
     # What the ladder goes by.
 
     def _stage(self) -> int:
