--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -129,7 +129,7 @@
     def __init__(self, host: Host, limits: NodeLimits, seed: int, now: int) -> None:
         self.host, self.limits, self.now, self.started = host, limits, now, now
         self.chance = Random(seed).random
-        self.reading = 0.0                                      # what else wanted a core when last seen
+        self.reading, self.readings = 0.0, Ring()               # what else wanted a core when last seen
         self.cpu_stage = self.depth_stage = self.latency_stage = int(Stage.NORMAL)
         self.count = [0] * len(State)
         factor = limits.run_factor
@@ -140,7 +140,6 @@
         self.keys: list[int] = []                               # when the memory of a kept key is free
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
-        self.crowd = Ring()
         self.latency, self.unread = Ring(), Ring()              # to completion, unread, over the SLO time
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
@@ -151,7 +150,7 @@
         self.calls_booked = self.calls_failed = self.trial_at = 0
         self.waiting: deque[Exchange] = deque()                 # at calls that can't be placed yet
         self.advice, self.willing, self.fit = -1.0, 1.0, True
-        self.seen: dict[int, int] = {}                          # when callers were heard, the last ones last
+        self.callers: dict[int, int] = {}                       # when each was heard, the latest last
         self.returns = [Ring(2 * SECOND) for _ in range(LINK_STEPS + 1)]    # times between, by doubled steps
         host.set_health(True, True)                             # from store: a real check costs work
         self._advise()
@@ -172,7 +171,11 @@
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
         self.unread.add(now, ex.backlog / group.slo_time)
-        self._heard(ex.caller)
+        gap = now - self.callers.pop(ex.caller, -(LINK_STEP << LINK_STEPS))
+        self.callers[ex.caller] = now
+        self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(now, gap)
+        if len(self.callers) > CALLERS_MOST:
+            del self.callers[next(iter(self.callers))]
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
@@ -232,13 +235,6 @@
         self._move(ex, State.HELD)
         heappush(self.hold, (-ex.rank, next(self.order), ex))
 
-    def _heard(self, caller: int) -> None:
-        gap = self.now - self.seen.pop(caller, 0)
-        self.seen[caller] = self.now
-        if len(self.seen) > CALLERS_MOST:
-            del self.seen[next(iter(self.seen))]
-        self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(self.now, gap)
-
     # What the ladder goes by.
 
     def _stage(self) -> int:
@@ -377,7 +373,7 @@
         """The poll of the ladder, or a step of alarms."""
         self.now = now
         self.reading = max(0.0, gauges.run_queue - self._on_cores())
-        self.crowd.add(now, self.reading)
+        self.readings.add(now, self.reading)
         if token != POLL_TOKEN:
             for ex in self.alarms.pop(token, ()):
                 self._ring(ex)
@@ -398,20 +394,19 @@
         self.host.set_timer(POLL_TOKEN, now + POLL)
 
     def _trim(self, links: float) -> None:
-        """Close idle connections when those who return later don't pay for the places that all take: a full
-        table takes of the cores and turns callers away unseen. What comes opens one at most, so the rate
-        bounds those idle."""
+        """Close idle connections where those who return later don't pay for the places that all take: a full
+        table takes of the cores and turns callers away unseen. Where new connections crowd the cores, as on a
+        node that a hot key falls to, the table is let fill: whom it has no room for costs nothing."""
         totals = [ring.total(self.now) for ring in self.returns]
-        number = sum(count for _, count in totals)
-        worth, keep, best, back, paid = LINK_WORTH[self._stage() >= Stage.REAP], LINK_LEAST, 0.0, 0, 0.0
+        others = sum(count for _, count in totals)
+        worth, keep, best, net = LINK_WORTH[self._stage() >= Stage.REAP], LINK_LEAST, 0.0, 0.0
         for step, (time, count) in enumerate(totals[:LINK_STEPS]):
-            back, paid = back + count, paid + time
-            net = worth * back - paid - (LINK_STEP << step) * (number - back)
-            if net > best:
-                best, keep = net, LINK_STEP << step
-        if self.crowd.mean(self.now, 0.0) > LINK_CROWD * self.limits.cores:
+            net, others = net + worth * count - time, others - count
+            if net - (LINK_STEP << step) * others > best:
+                best, keep = net - (LINK_STEP << step) * others, LINK_STEP << step
+        if self.readings.mean(self.now, 0.0) > LINK_CROWD * self.limits.cores:
             keep = max(keep, int(links * SECOND / (LINK_RATE * self.limits.cores)))
-        self.host.close_idle(max(LINK_LEAST, min(self.limits.idle, keep)))
+        self.host.close_idle(min(self.limits.idle, keep))
 
     def _alarm(self, ex: Exchange, at: int) -> None:
         """Look at the exchange again at a time: one timer serves all alarms of a step."""
