--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -38,7 +38,7 @@
 CPU_SLACK = 0.05
 CPU_QUEUE = (0.0, 0.0, 1.0, 1.0, 3.0)       # a CPU stage acts only while the depth exceeds this
 DEPTH = (0.75, 1.0, 1.25, 1.75, 3.0)        # exchanges in the hold and on the cores, for each core
-DEPTH_SLACK = 0.25
+DEPTH_SLACK, DEPTH_SPARE = 0.25, 1          # the first uncounted: on few cores counts for each are coarse
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
@@ -243,7 +243,7 @@
     def _depth(self) -> float:
         """In the hold and on the cores, for each core; those at calls have a bound of their own."""
         held = self.count[State.DELAYED] + self.count[State.HELD]
-        return (held + self._on_cores()) / self.limits.cores
+        return max(0, held + self._on_cores() - DEPTH_SPARE) / self.limits.cores
 
     def _on_cores(self) -> int:
         """Runs, and those whose call we have not placed: these wait on us, not on what lies below."""
