--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -198,7 +198,7 @@
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
-            return self._deny(ex)
+            return self._deny(ex, ex.marked_retry)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
         self._alarm(ex, ex.give_up_at)
