Wish no other try where over a tenth of what is read are later tries

Cause: behind callers that choose by subject one node is full while others have room; but a denied exchange costs the next node its reading. The share of marked later tries that come tells which it is.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -49,6 +49,7 @@
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
+RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.34)
@@ -141,6 +142,7 @@
         self.alarms: dict[int, list[Exchange]] = {}
         self.stop_at = self.grace_end = 0                       # set by the notice to leave
         self.latency, self.unread = Ring(), Ring()              # to completion, unread, over the SLO time
+        self.retries = Ring()                                   # marked later tries among what was read
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
         tenants = max(1, len(limits.tenants))
@@ -176,6 +178,7 @@
         self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(now, gap)
         if len(self.callers) > CALLERS_MOST:
             del self.callers[next(iter(self.callers))]
+        self.retries.add(now, ex.marked_retry)
         if not ex.marked_retry:
             self.asked[group.index][tenant].add(now, 1)
         below, breadth = self.ranks[group.index][tenant]
@@ -198,7 +201,7 @@
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
-            return self._deny(ex, ex.marked_retry)
+            return self._deny(ex, ex.marked_retry or self.retries.mean(now, 1.0) > RETRIES)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
         self._alarm(ex, ex.give_up_at)
