--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -86,6 +86,11 @@
     late_share: float  # of the benefit, for an answer after the SLO time
     skip_share: float  # of the benefit, where a call is left out
 
+    @property
+    def once(self) -> bool:
+        """It may not take effect again."""
+        return self.effect is not Effect.REPEATABLE
+
 
 @dataclass(slots=True, eq=False)
 class Tenant:
@@ -108,6 +113,7 @@
     cold_time: int
     crowd_multiple: float  # running exchanges a core that a warm node survives
     drain_grace: int
+    marks_retries: bool  # later tries come marked
     max_retry_after: int  # 0: callers take no such advice
     stop_kind: StopKind
     peers: int
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -167,9 +167,8 @@
         tenant = ex.tenant.index if ex.tenant else 0
         left = ex.left or max(0, group.async_timeout - ex.backlog)
         ex.slo_end = now + group.slo_time - ex.backlog
-        ex.give_up_at = now + left - DUE_ROOM
-        if not group.late_share:
-            ex.give_up_at = min(ex.give_up_at, ex.slo_end)
+        due = now + left - DUE_ROOM
+        ex.give_up_at = due if group.late_share else min(due, ex.slo_end)
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
         self.unread.add(now, ex.backlog / group.slo_time)
@@ -185,7 +184,7 @@
         ex.rank = below + breadth * self.chance()
         full = self.memory_kb + ex.memory_kb + limits.key_kb > limits.memory_kb * HOLD_ROOM
         # One that repeats another takes its result: no second effect, and a twentieth of the work.
-        if ex.repeats and (self._once(ex) or limits.fresh and not full):
+        if ex.repeats and (ex.group.once or limits.fresh and not full):
             self._move(ex, State.SHARING)
             self.host.share(ex)
             return self._alarm(ex, ex.give_up_at)
@@ -201,7 +200,8 @@
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
         if stage >= Stage.REORDER and ex.rank < self._cut(depth):
-            return self._deny(ex, ex.marked_retry or self.retries.mean(now, 1.0) > RETRIES)
+            return self._deny(ex, ex.marked_retry or not limits.marks_retries
+                              or self.retries.mean(now, 1.0) > RETRIES)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
         self._alarm(ex, ex.give_up_at)
@@ -290,7 +290,7 @@
         if ex.state in (State.DELAYED, State.HELD):
             return self._deny(ex)
         if ex.state < State.ORPHANED:
-            if self._once(ex):
+            if ex.group.once:
                 self.host.terminate(ex)
             else:
                 self.host.deny(ex, True, self._retry_after())
@@ -314,10 +314,6 @@
         crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores) ** 3
         return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
 
-    @staticmethod
-    def _once(ex: Exchange) -> bool:
-        return ex.group.effect is not Effect.REPEATABLE
-
     def _move(self, ex: Exchange, state: State) -> None:
         """The one place where an exchange changes its state."""
         old = ex.state
@@ -332,7 +328,7 @@
 
     def _remember(self, ex: Exchange) -> None:
         """Keep its key: through its time and as long after as its answer may serve."""
-        duration = ex.group.window if self._once(ex) else max(0, ex.give_up_at - self.now) + self.limits.fresh
+        duration = ex.group.window if ex.group.once else max(0, ex.give_up_at - self.now) + self.limits.fresh
         self.host.remember(ex, duration)
         ex.kept = True
         self.memory_kb += self.limits.key_kb
@@ -490,7 +486,7 @@
         ex.calls_failed += 1
         self._move(ex, State.AT_CALL)
         never_ran = outcome in (Outcome.DENIED, Outcome.UNREACHED, Outcome.MOOT)
-        if ex.calls_failed < CALL_TRIES and (never_ran or not self._once(ex)) and not ex.group.skip_share:
+        if ex.calls_failed < CALL_TRIES and (never_ran or not ex.group.once) and not ex.group.skip_share:
             self._try_call(ex)
         elif ex.group.skip_share:
             self._leave_out(ex)
--- a/oakkeel/simhost/settings.py
+++ b/oakkeel/simhost/settings.py
@@ -73,6 +73,7 @@
         cold_time=pairs.time("obligations.cold"),
         crowd_multiple=pairs.needed_number("obligations.fall-multiple"),
         drain_grace=pairs.time("obligations.drain-grace"),
+        marks_retries=pairs.flag("clients.marks-retry"),
         max_retry_after=pairs.time("ceilings.max-retry-after") if pairs.flag("ceilings.retry-after") else 0,
         stop_kind=pairs.choice("extra.halt", STOPS, "silent"),
         peers=max(1, int(pairs.number("peers-total", 1))),
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -29,6 +29,7 @@
     cold_time=10 * SECOND,
     crowd_multiple=5,
     drain_grace=2 * SECOND,
+    marks_retries=True,
     max_retry_after=SECOND,
     stop_kind=StopKind.ABORT,
     peers=1,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -45,6 +45,20 @@
         denied = [sum(host.words(ex) == ["deny"] for ex in exchanges[group::2]) for group in (0, 1)]
         self.assertGreater(denied[0], 2 * denied[1])
 
+    def test_low_rank_may_try_elsewhere_until_many_later_tries_come(self):
+        # Behind callers that choose by subject one node was full while others had room.
+        for share, elsewhere in ((0, True), (4, False)):
+            host = FakeHost()
+            exchanges = []
+            for number in range(200):
+                exchanges.append(host.arrive(marked_retry=number % 10 < share))
+                while len(open_ones := host.in_state(exchanges, State.HELD, State.RUNNING)) > 8:
+                    host.done(host.in_state(open_ones, State.RUNNING)[0])
+                host.run_until(host.now + 20 * MS)
+            wished = [wish[2] for wish in host.said if wish[0] == "deny" and not wish[1].marked_retry]
+            self.assertGreater(len(wished), 10)
+            self.assertEqual(sum(wished) < len(wished) / 4, elsewhere)
+
     def test_a_tenant_over_its_share_is_shed_before_the_others(self):
         host = FakeHost(tenants=[5.0, 50.0])
         for _ in range(300):
