--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -44,11 +44,11 @@
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-LINK_CROWD, LINK_RATE = 1.5, 3              # new connections a second and core, while more than that is read
+LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
 LINK_WORTH = (20 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
-RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
+RETRY_AFTER = 1000 * MS                     # from a node that is full, or busy reading
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
