--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -48,7 +48,7 @@
 LINK_WORTH = (20 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
-RETRY_AFTER = 1000 * MS                     # from a node that is full, or busy reading
+RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -60,7 +60,7 @@
 HOLD_ROOM = 0.95
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
-UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
+UNFIT = 9.6                                 # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
