--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -73,7 +73,7 @@
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP, RING_SIZE = 500 * MS, 12
-ASKED_STEP = SECOND                         # what each tenant asks is watched for longer: it may ask seldom
+SHARE_SLACK = 2                             # exchanges over a tenant's share that are taken for chance
 POLL_TOKEN = 0
 
 # Which states may follow each.
@@ -147,7 +147,7 @@
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
         tenants = max(1, len(limits.tenants))
-        self.asked = [[Ring(ASKED_STEP) for _ in range(tenants)] for _ in limits.groups]
+        self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
         self.calls_time = Ring(limits.call_window // (RING_SIZE - 1) + 1)   # call time spent below
         self.calls_booked = self.calls_failed = self.trial_at = 0
@@ -427,9 +427,9 @@
         limits, rows = self.limits, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(self.now)[1] for rings in self.asked]
-            rate = sum(counts) * SECOND / min(RING_SIZE * ASKED_STEP, max(1, self.now - self.started))
-            allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
-            within = min(1.0, allowance / rate) if rate and allowance else 1.0
+            watched = min(RING_SIZE * RING_STEP, max(1, self.now - self.started)) / SECOND
+            allowed = limits.tenants[tenant].allowance_per_s / limits.peers * watched if limits.tenants else 0.0
+            within = min(1.0, (allowed + SHARE_SLACK) / max(1, sum(counts))) if allowed else 1.0
             worth = within + (1 - within) * limits.over_share
             for group in limits.groups:
                 density = group.benefit * worth / max(1, self.span[group.index])
