Let the cut follow its signals over some arrivals

On two cores the cut knew three levels, none, half and nine tenths, so tenants within their share fell under it.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -41,7 +41,7 @@
 DEPTH_SLACK, DEPTH_SPARE = 0.25, 2          # the first uncounted: on few cores counts for each are coarse
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
-CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
+CUT_MOST, CUT_GAIN = 0.9, 0.15              # of what is asked, denied as low from BACKPRESSURE on; its pace
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
@@ -73,7 +73,6 @@
 STOP_ROOM = 64 * MS                         # all is answered this long before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP, RING_SIZE = 500 * MS, 12
-SHARE_SLACK = 2                             # exchanges over a tenant's share that are taken for chance
 POLL_TOKEN = 0
 
 # Which states may follow each.
@@ -136,7 +135,7 @@
         self.count = [0] * len(State)
         factor = limits.run_factor
         self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state
-        self.memory_kb = 0.0
+        self.memory_kb = self.cut = 0.0
         self.hold: list[tuple[float, int, Exchange]] = []
         self.order = count()
         self.keys: list[int] = []                               # when the memory of a kept key is free
@@ -200,7 +199,8 @@
             stage = max(stage, self.cpu_stage)
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
-        if stage >= Stage.REORDER and ex.rank < self._cut(depth):
+        self.cut += CUT_GAIN * (self._cut(depth) - self.cut)
+        if stage >= Stage.REORDER and ex.rank < self.cut:
             return self._deny(ex, ex.marked_retry or not limits.marks_retries
                               or self.retries.mean(now, 1.0) > RETRIES)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
@@ -265,6 +265,9 @@
         wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
         return int(HOPE * (self.span[group] + wait))
 
+    def _watched(self) -> int:
+        return min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
+
     def _warmth(self) -> float:
         """The least share of full speed that the node may have by now."""
         limits = self.limits
@@ -427,9 +430,9 @@
         limits, rows = self.limits, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(self.now)[1] for rings in self.asked]
-            watched = min(RING_SIZE * RING_STEP, max(1, self.now - self.started)) / SECOND
-            allowed = limits.tenants[tenant].allowance_per_s / limits.peers * watched if limits.tenants else 0.0
-            within = min(1.0, (allowed + SHARE_SLACK) / max(1, sum(counts))) if allowed else 1.0
+            rate = sum(counts) * SECOND / self._watched()
+            allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
+            within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
             for group in limits.groups:
                 density = group.benefit * worth / max(1, self.span[group.index])
@@ -446,7 +449,7 @@
         kind = self.limits.advice
         if kind is AdviceKind.SILENT:
             return
-        cut = 1.0 if self.stop_at else self._cut(self._depth())
+        cut = 1.0 if self.stop_at else self.cut
         # A denial costs its reading, one sent elsewhere nothing: lower until what wants a core is bounded.
         crowd = self.reading / self.limits.cores + self._depth()
         step = ADVICE_DOWN if crowd > ADVICE_CROWD else ADVICE_UP
