--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -24,12 +24,7 @@
 
 class Stage(IntEnum):
     """The rungs of the ladder."""
-    NORMAL = 0
-    EXPAND = 1
-    REAP = 2
-    REORDER = 3
-    BACKPRESSURE = 4
-    REJECT = 5
+    NORMAL, EXPAND, REAP, REORDER, BACKPRESSURE, REJECT = range(6)
 
 
 # The ladder. A row's n-th figure enters the n-th stage after NORMAL; a stage is left below it less the slack.
@@ -41,7 +36,8 @@
 DEPTH_SLACK, DEPTH_SPARE = 0.25, 2          # the first uncounted: on few cores counts for each are coarse
 LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
-CUT_MOST, CUT_GAIN = 0.9, 0.15              # of what is asked, denied as low from BACKPRESSURE on; its pace
+CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
+CUT_PACE = 0.08                             # of the way to its signals at each arrival, for each core
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
@@ -199,7 +195,7 @@
             stage = max(stage, self.cpu_stage)
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
             return self._deny(ex, ex.marked_retry)
-        self.cut += CUT_GAIN * (self._cut(depth) - self.cut)
+        self.cut += min(1.0, CUT_PACE * limits.cores) * (self._cut(depth) - self.cut)
         if stage >= Stage.REORDER and ex.rank < self.cut:
             return self._deny(ex, ex.marked_retry or not limits.marks_retries
                               or self.retries.mean(now, 1.0) > RETRIES)
