--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -284,6 +284,7 @@
 
     def test_advice_falls_poll_by_poll_while_the_node_is_full(self):
         host = FakeHost(advice=AdviceKind.SHARE)
+        host.gauges.run_queue = 12
         for _ in range(4):
             for _ in range(60):
                 host.arrive()
