--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -50,7 +50,7 @@
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.34)
 RUN_LEAST = 0.5                             # of the cores, however much is being read
-RUN_QUEUE = 1.5                             # runs, reading, checks and new connections together
+RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
 MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest is for what comes in
 HOLD_ROOM = 0.95
