--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -48,7 +48,7 @@
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
-RUN = (1.0, 1.34)
+RUN = (1.0, 1.24)
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
@@ -224,7 +224,7 @@
                 continue
             on_cores = self._on_cores()
             more = ex.memory_kb * (limits.run_factor - 1)
-            if (on_cores + 1 > run or on_cores + self.count[State.CALLING] + 1 > crowd
+            if (on_cores + 0.5 > run or on_cores + self.count[State.CALLING] + 1 > crowd
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
             heappop(self.hold)
