--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -141,6 +141,7 @@
         self.retries = Ring()                                   # marked later tries among what was read
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
+        self.calls = [Ring() for _ in limits.groups]            # time at calls of completed runs
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
@@ -259,7 +260,7 @@
         """The time that an exchange of the group must have left, behind what is held."""
         held = self.count[State.HELD] + self.count[State.DELAYED]
         wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
-        return int(HOPE * (self.span[group] + wait))
+        return int(HOPE * (self.span[group] + self.calls[group].mean(self.now, 0.0) + wait))
 
     def _watched(self) -> int:
         return min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
@@ -318,6 +319,8 @@
             raise RuntimeError(f"an exchange can't go from {old.name} to {state.name}")
         if old is State.RUNNING:
             ex.on_cores += self.now - ex.since
+        elif old in (State.AT_CALL, State.CALLING):
+            ex.at_calls += self.now - ex.since
         self.count[old] -= 1
         self.count[state] += 1
         self.memory_kb += ex.memory_kb * (self.weight[state] - self.weight[old])
@@ -345,6 +348,7 @@
         self._move(ex, State.OVER)
         if outcome is Outcome.COMPLETED and state is State.RUNNING:
             self.spans[ex.group.index].add(now, ex.on_cores)
+            self.calls[ex.group.index].add(now, ex.at_calls)
             self.latency.add(now, (now - ex.arrived + ex.backlog) / ex.group.slo_time)
 
     def gone(self, now: int, ex: Exchange) -> None:
