--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -149,7 +149,6 @@
     since: int = 0  # when it entered its state
     arrived: int = 0
     on_cores: int = 0  # time spent on the cores so far
-    at_calls: int = 0  # time spent at calls so far
     rank: float = 0.0
     calls_failed: int = 0
     call_commit: int = 0  # call time booked for a call in flight
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -34,7 +34,7 @@
 CPU_QUEUE = (0.0, 0.0, 1.0, 1.0, 3.0)       # a CPU stage acts only while the depth exceeds this
 DEPTH = (0.75, 1.0, 1.25, 1.75, 3.0)        # exchanges in the hold and on the cores, for each core
 DEPTH_SLACK, DEPTH_SPARE = 0.25, 2          # the first uncounted: on few cores counts for each are coarse
-LATENCY = (0.4, 0.5, 0.6, 0.8, 1.0)         # mean time to completion over the SLO time
+LATENCY = (0.5, 0.6, 0.75, 0.9, 1.1)        # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
 CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
 CUT_PACE = 0.08                             # of the way to its signals at each arrival, for each core
@@ -141,7 +141,6 @@
         self.retries = Ring()                                   # marked later tries among what was read
         self.spans = [Ring() for _ in limits.groups]            # time on the cores of completed runs
         self.span = [group.slo_time / 6 for group in limits.groups]
-        self.calls = [Ring() for _ in limits.groups]            # time at calls of completed runs
         tenants = max(1, len(limits.tenants))
         self.asked = [[Ring() for _ in range(tenants)] for _ in limits.groups]
         self.ranks = [[(0.0, 1.0)] * tenants for _ in limits.groups]  # place among the asked, breadth
@@ -260,7 +259,7 @@
         """The time that an exchange of the group must have left, behind what is held."""
         held = self.count[State.HELD] + self.count[State.DELAYED]
         wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
-        return int(HOPE * (self.span[group] + self.calls[group].mean(self.now, 0.0) + wait))
+        return int(HOPE * (self.span[group] + wait))
 
     def _watched(self) -> int:
         return min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
@@ -319,8 +318,6 @@
             raise RuntimeError(f"an exchange can't go from {old.name} to {state.name}")
         if old is State.RUNNING:
             ex.on_cores += self.now - ex.since
-        elif old in (State.AT_CALL, State.CALLING):
-            ex.at_calls += self.now - ex.since
         self.count[old] -= 1
         self.count[state] += 1
         self.memory_kb += ex.memory_kb * (self.weight[state] - self.weight[old])
@@ -348,7 +345,6 @@
         self._move(ex, State.OVER)
         if outcome is Outcome.COMPLETED and state is State.RUNNING:
             self.spans[ex.group.index].add(now, ex.on_cores)
-            self.calls[ex.group.index].add(now, ex.at_calls)
             self.latency.add(now, (now - ex.arrived + ex.backlog) / ex.group.slo_time)
 
     def gone(self, now: int, ex: Exchange) -> None:
