Deny what waited too long to end in time instead of starting it

Cause: the hold serves high ranks first; a low one started with too little time left and its run was given up.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -228,6 +228,9 @@
                     or self.memory_kb + more > limits.memory_kb * MEMORY_ROOM):
                 break
             heappop(self.hold)
+            if now + HOPE * self.span[ex.group.index] > min(ex.slo_end, ex.give_up_at):
+                self._deny(ex)              # it waited too long behind higher ranks: no run in vain
+                continue
             self._move(ex, State.RUNNING)
             self.host.run(ex)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -79,6 +79,16 @@
             self.assertEqual(sum(word in ("deny", "terminate") for word in host.words(ex)), 1)
         self.assertIn("stop", host.words(exchanges[1]))
 
+    def test_what_waited_too_long_behind_higher_ranks_is_denied_not_started(self):
+        # Low ranks started with too little time left: a fifth of the runs was given up.
+        host = FakeHost()
+        exchanges = [host.arrive() for _ in range(7)]
+        held = host.in_state(exchanges, State.HELD)
+        host.run_until(host.now + 1900 * MS)
+        host.done(host.in_state(exchanges, State.RUNNING)[0])
+        self.assertEqual(len(held), 2)
+        self.assertEqual([host.words(ex) for ex in held], [["deny"], ["deny"]])
+
     def test_what_can_no_longer_be_in_time_is_denied_at_once(self):
         host = FakeHost()
         self.assertEqual(host.words(host.arrive(backlog=3 * SECOND, left=2 * SECOND)), ["deny"])
