--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -45,7 +45,7 @@
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
-RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
+RETRIES = 0.25                              # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
