--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -197,8 +197,7 @@
             return self._deny(ex, ex.marked_retry)
         self.cut += min(1.0, CUT_PACE * limits.cores) * (self._cut(depth) - self.cut)
         if stage >= Stage.REORDER and ex.rank < self.cut:
-            return self._deny(ex, ex.marked_retry or not limits.marks_retries
-                              or self.retries.mean(now, 1.0) > RETRIES)
+            return self._deny(ex, not limits.marks_retries or self.retries.mean(now, 1.0) > RETRIES)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
         self._alarm(ex, ex.give_up_at)
