--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -45,7 +45,7 @@
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
-RETRIES = 0.25                              # of what is read: from there on the other nodes are full as well
+RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
@@ -56,7 +56,7 @@
 HOLD_ROOM = 0.95
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
-UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
+UNFIT = 0.35                                # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
@@ -197,7 +197,8 @@
             return self._deny(ex, ex.marked_retry)
         self.cut += min(1.0, CUT_PACE * limits.cores) * (self._cut(depth) - self.cut)
         if stage >= Stage.REORDER and ex.rank < self.cut:
-            return self._deny(ex, not limits.marks_retries or self.retries.mean(now, 1.0) > RETRIES)
+            return self._deny(ex, ex.marked_retry or not limits.marks_retries
+                              or self.retries.mean(now, 1.0) > RETRIES)
         if ex.has_key and (limits.fresh or group.effect is Effect.DEDUPLICATED):
             self._remember(ex)
         self._alarm(ex, ex.give_up_at)
