--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -56,7 +56,7 @@
 HOLD_ROOM = 0.95
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
-UNFIT = 0.35                                # of the SLO time spent unread: off the list until below half
+UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
