--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -45,6 +45,7 @@
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
+READ_CROWD = 0.75                           # being read, for each core: from there on retries are what fills it
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -194,7 +195,7 @@
         if depth > CPU_QUEUE[max(0, self.cpu_stage - 1)]:
             stage = max(stage, self.cpu_stage)
         if stage == Stage.REJECT or now + self._needed(group.index) > min(ex.slo_end, ex.give_up_at):
-            return self._deny(ex, ex.marked_retry)
+            return self._deny(ex, ex.marked_retry or self.readings.mean(now, 0.0) > READ_CROWD * limits.cores)
         self.cut += min(1.0, CUT_PACE * limits.cores) * (self._cut(depth) - self.cut)
         if stage >= Stage.REORDER and ex.rank < self.cut:
             return self._deny(ex, ex.marked_retry or not limits.marks_retries
