--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -50,6 +50,7 @@
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
+STALE = 0.3                                 # of the SLO time unread: reading goes first until it is below
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
@@ -132,7 +133,7 @@
         self.count = [0] * len(State)
         factor = limits.run_factor
         self.weight = [0, 1, 1, 1, factor, factor, factor, factor, factor, 0]   # memory by state
-        self.memory_kb = self.cut = 0.0
+        self.memory_kb = self.cut = self.stale = 0.0
         self.hold: list[tuple[float, int, Exchange]] = []
         self.order = count()
         self.keys: list[int] = []                               # when the memory of a kept key is free
@@ -168,7 +169,8 @@
         ex.give_up_at = due if group.late_share else min(due, ex.slo_end)
         if self.stop_at:
             ex.give_up_at = min(ex.give_up_at, self.stop_at - STOP_ROOM)
-        self.unread.add(now, ex.backlog / group.slo_time)
+        self.stale = ex.backlog / group.slo_time
+        self.unread.add(now, self.stale)
         gap = now - self.callers.pop(ex.caller, -(LINK_STEP << LINK_STEPS))
         self.callers[ex.caller] = now
         self.returns[min(LINK_STEPS, (gap // LINK_STEP).bit_length())].add(now, gap)
@@ -216,7 +218,7 @@
             self.waiting.popleft()
         limits = self.limits
         room = RUN_QUEUE - self.reading / limits.cores
-        run = max(RUN_LEAST, min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
+        run = max(RUN_LEAST * (self.stale < STALE), min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
         crowd = (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
         while self.hold:
             ex = self.hold[0][2]
