Run nothing beside reading while what is read is old

Cause: both cores read all the time, one run beside them slowed the reading, and what was read was too old to be served.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -218,7 +218,9 @@
             self.waiting.popleft()
         limits = self.limits
         room = RUN_QUEUE - self.reading / limits.cores
-        run = max(RUN_LEAST * (self.stale < STALE), min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
+        run = max(RUN_LEAST, min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
+        if self.stale > STALE and self.reading > 0.5 * limits.cores:
+            run = 0
         crowd = (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
         while self.hold:
             ex = self.hold[0][2]
