--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -50,7 +50,7 @@
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
-STALE = 0.3                                 # of the SLO time unread: reading goes first until it is below
+STALE = 0.15                                # of the SLO time unread: reading goes first until it is below
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
