--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -50,7 +50,7 @@
 RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
-STALE = 0.15                                # of the SLO time unread: reading goes first until it is below
+STALE = 0.2                                 # of the SLO time unread: reading goes first until it is below
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
@@ -58,7 +58,7 @@
 HOLD_ROOM = 0.95
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
-UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
+UNFIT = 9.6                                 # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
