--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -36,39 +36,34 @@
 DEPTH_SLACK, DEPTH_SPARE = 0.25, 2          # the first uncounted: on few cores counts for each are coarse
 LATENCY = (0.5, 0.6, 0.75, 0.9, 1.1)        # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
-CUT_MOST = 0.9                              # of what is asked, denied as low from BACKPRESSURE on
-CUT_PACE = 0.08                             # of the way to its signals at each arrival, for each core
+CUT_MOST, CUT_PACE = 0.9, 0.08              # of what is asked; of its way at each arrival, for each core
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
 LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
 LINK_WORTH = (20 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
-RETRY_AFTER = 500 * MS                      # from a node that is full, or busy reading
-READ_CROWD = 0.75                           # being read, for each core: from there on retries are what fills it
+RETRY_AFTER, RETRY_LEAST = 500 * MS, 25 * MS    # from a node that is full or reading; that sheds low ranks
+READ_CROWD = 0.75                           # being read, for each core: from there on retries fill it
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
-RETRY_LEAST = 25 * MS                       # from one that sheds low ranks only
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
 RUN = (1.0, 1.24)
 STALE = 0.2                                 # of the SLO time unread: reading goes first until it is below
 RUN_LEAST = 0.5                             # of the cores, however much is being read
 RUN_QUEUE = 1.25                            # runs, reading, checks and new connections together
 CROWD_ROOM = 0.7                            # of the crowd that kills, for all that could be on the cores
-MEMORY_ROOM = 0.85                          # of the memory, for what runs; the rest is for what comes in
-HOLD_ROOM = 0.95
+MEMORY_ROOM, HOLD_ROOM = 0.85, 0.95         # of the memory, for what runs; with what is held and kept
 # Advice: moved each poll by what wants a core, for each core.
 ADVICE_CROWD, ADVICE_DOWN, ADVICE_UP, ADVICE_LEAST = 2.0, 0.8, 1.15, 0.05
-UNFIT = 9.6                                 # of the SLO time spent unread: off the list until below half
+UNFIT = 0.6                                 # of the SLO time spent unread: off the list until below half
 # Calls below.
 CALL_ROOM = 0.8                             # of the share of what lies below, as a mean
 CALL_CROWD = 0.5                            # of that share, in hand at one time; never less than one
-CALL_TIME = 0.25                            # of the SLO time, for one call
-CALL_WAIT = 0.15                            # of the SLO time, for room to place a call that may be left out
+CALL_TIME, CALL_WAIT = 0.25, 0.15           # of the SLO time: one call; room for one that may be left out
 CALL_TRIES, BREAK_AFTER = 3, 5              # tries of one call; failures in a row that stop all calls
 TRIAL_EVERY = SECOND
 ALARM_STEP = 16 * MS                        # alarms are gathered in steps of this
-DUE_ROOM = 20 * MS                          # an answer leaves this long before it is due
-STOP_ROOM = 64 * MS                         # all is answered this long before the stop
+DUE_ROOM, STOP_ROOM = 20 * MS, 64 * MS      # an answer leaves this long before it is due; before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP, RING_SIZE = 500 * MS, 12
 POLL_TOKEN = 0
@@ -217,10 +212,10 @@
         while self.waiting and self._place_call(self.waiting[0]):
             self.waiting.popleft()
         limits = self.limits
-        room = RUN_QUEUE - self.reading / limits.cores
-        run = max(RUN_LEAST, min(RUN[self._stage() >= Stage.EXPAND], room)) * limits.cores
-        if self.stale > STALE and self.reading > 0.5 * limits.cores:
-            run = 0
+        reading = self.reading / limits.cores
+        run = max(RUN_LEAST, min(RUN[self._stage() >= Stage.EXPAND], RUN_QUEUE - reading)) * limits.cores
+        if self.stale > STALE and reading > RUN_LEAST:
+            run = 0     # in a jam one run beside the reading makes all that is read too old to be served
         crowd = (1 + (limits.crowd_multiple - 1) * self._warmth()) * limits.cores * CROWD_ROOM
         while self.hold:
             ex = self.hold[0][2]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -252,6 +252,23 @@
         exchanges = [host.arrive() for _ in range(8)]
         self.assertLess(len(host.in_state(exchanges, State.RUNNING)), host.limits.cores)
 
+    def test_reading_goes_first_while_what_is_read_is_old(self):
+        # In a jam one run beside the reading made all that was read too old; no node came out of it.
+        host = FakeHost()
+        host.gauges.run_queue = 4
+        host.run_until(2 * SECOND)
+        old = host.arrive(backlog=800 * MS)
+        self.assertEqual(host.words(old), [])
+        host.arrive()
+        self.assertEqual(host.words(old), ["run"])
+
+    def test_a_node_full_of_reading_wishes_no_other_try(self):
+        host = FakeHost()
+        host.gauges.run_queue = 8
+        host.run_until(3 * SECOND)
+        host.arrive(left=200 * MS)
+        self.assertEqual([wish[2] for wish in host.said if wish[0] == "deny"], [True])
+
     def test_a_stuck_node_denies_early_and_takes_trials_again(self):
         # On a node slowed many times nothing completed, so it went on to take work that it gave up.
         host = FakeHost()
