--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -36,10 +36,10 @@
 DEPTH_SLACK, DEPTH_SPARE = 0.25, 2          # the first uncounted: on few cores counts for each are coarse
 LATENCY = (0.5, 0.6, 0.75, 0.9, 1.1)        # mean time to completion over the SLO time
 LATENCY_SLACK = 0.1
-CUT_MOST, CUT_PACE = 0.9, 0.08              # of what is asked; of its way at each arrival, for each core
+CUT_MOST, CUT_PACE = 0.9, 0.08              # of what is asked, denied as low; its pace by arrival and core
 HOPE = 0.7                                  # of the expected time must fit, for sizes vary
 DELAY = 50 * MS                             # the wait at BACKPRESSURE
-LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more than that is read
+LINK_CROWD, LINK_RATE = 1.5, 8              # new connections a second and core, while more are read
 LINK_WORTH = (20 * SECOND, 4 * SECOND)      # idle time that saves a new connection, below REAP and from it on
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
@@ -264,9 +264,6 @@
         wait = sum(self.span) / len(self.span) * held / (RUN[1] * self.limits.cores)
         return int(HOPE * (self.span[group] + wait))
 
-    def _watched(self) -> int:
-        return min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
-
     def _warmth(self) -> float:
         """The least share of full speed that the node may have by now."""
         limits = self.limits
@@ -429,7 +426,7 @@
         limits, rows = self.limits, []
         for tenant in range(len(self.asked[0])):
             counts = [rings[tenant].total(self.now)[1] for rings in self.asked]
-            rate = sum(counts) * SECOND / self._watched()
+            rate = sum(counts) * SECOND / min(RING_SIZE * RING_STEP, max(1, self.now - self.started))
             allowance = limits.tenants[tenant].allowance_per_s / limits.peers if limits.tenants else 0.0
             within = min(1.0, allowance / rate) if rate and allowance else 1.0
             worth = within + (1 - within) * limits.over_share
