--- a/tests/fake.py
+++ b/tests/fake.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from oakkeel.interface import (AdviceKind, Below, Effect, EndpointGroup, Exchange, Gauges, NodeLimits, Outcome,
-                               State, StopKind, Tenant)
+from oakkeel.interface import (AdviceKind, Below, Effect, EndpointGroup, Exchange, Gauges, NodeLimits,
+                               Outcome, State, StopKind, Tenant)
 from oakkeel.policy import MS, SECOND, Keel
 
 LIMITS = NodeLimits(
