Serve exchanges on real sockets: the first node round the module

The nodes' logs named it: the engine states a run's time as 77.422, and the link took only whole numbers, so each DONE closed the link (engine/link.py, the DONE notice). Times are now read as fractions of a millisecond.

What reads a start into NodeLimits moved from simhost to oakkeel/limits.py and serves both fronts.

--- /dev/null
+++ b/oakkeel/__main__.py
@@ -0,0 +1,30 @@
+"""`python -m oakkeel`: one node, told what it needs by its variables and the file that they name."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+from oakkeel.limits import LimitsError
+from oakkeel.node.start import read_start
+
+
+def main() -> int:
+    try:
+        start = read_start(os.environ)
+        asyncio.run(_run(start))
+    except (LimitsError, OSError) as error:
+        print(f"oakkeel: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+async def _run(start) -> None:
+    from oakkeel.node.assembly import Node  # a bad start fails before anything else is loaded
+
+    await Node(start).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oakkeel/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The links to the catalogue, a proxy before the next tier."""
--- /dev/null
+++ b/oakkeel/catalogue/links.py
@@ -0,0 +1,138 @@
+"""Calls to the catalogue: many on few connections, each reply told as the outcome that it proves."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from oakkeel.bounds import MS, SECOND, Bounds
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.interface import Outcome
+from oakkeel.lines import LineParser
+from oakkeel.log import Log
+from oakkeel.streams import BufferPool, Intake, Malformed, connect, send
+
+WITH_BODY = frozenset({(1, b"DATA")})
+REPLIES = {
+    b"DATA": Outcome.COMPLETED,
+    b"LATER": Outcome.DENIED,
+    b"FAULT": Outcome.ERROR,
+    b"TOOSLOW": Outcome.GIVEN_UP,
+    b"NOUSE": Outcome.MOOT,
+}
+
+
+class Call:
+    """One call in flight; it ends once, by a reply, a broken link, its time, or because nobody needs it."""
+
+    __slots__ = ("ex", "link", "placed", "timer")
+
+    def __init__(self, ex: LiveExchange, link: CallLink, until: int) -> None:
+        self.ex, self.link, self.placed = ex, link, time.monotonic_ns()
+        wait = (until - self.placed + link.bounds.call_slack) / SECOND
+        self.timer = asyncio.get_running_loop().call_later(wait, self.give_up)
+
+    def end(self, outcome: Outcome | None, reply: bytes = b"") -> None:
+        self.timer.cancel()
+        self.link.calls.pop(self.ex.ident, None)
+        self.link.used = time.monotonic_ns()
+        self.ex.call = None
+        if outcome is not None:
+            self.ex.tell(News.REPLY, outcome, reply, self.link.used - self.placed)
+
+    def give_up(self, outcome: Outcome | None = Outcome.GIVEN_UP) -> None:
+        """A reply may still cross this: the next call of the exchange must take another link."""
+        self.ex.soiled.append(self.link)
+        self.link.write(b"QUIT %s\r\n" % self.ex.ident)
+        self.end(outcome)
+
+
+class CallLink:
+    """One connection, with the calls that are on it."""
+
+    def __init__(self, address: tuple[str, int], pool: BufferPool, bounds: Bounds, log: Log) -> None:
+        self.address, self.bounds, self.log = address, bounds, log
+        self.calls: dict[bytes, Call] = {}
+        self.connected = self.over = False
+        self.used = time.monotonic_ns()
+        self.stream = IOStream(socket.socket(), max_write_buffer_size=bounds.backlog)
+        self.intake = Intake(pool)
+        self.early: list[bytes] = []  # written while it connects
+        self.task = asyncio.ensure_future(self._serve())
+
+    async def _serve(self) -> None:
+        try:
+            await connect(self.stream, self.address)
+            self.connected = True
+            for line in self.early:
+                self.write(line)
+            self.early.clear()
+            parser = LineParser(self.intake, WITH_BODY, self.bounds.words)
+            while True:
+                await self.intake.fill(self.stream)
+                for words, body in parser.messages():
+                    if len(words) < 2 or words[1] not in REPLIES:
+                        raise Malformed(f"a reply {b' '.join(words)[:60]!r}")
+                    if call := self.calls.get(words[0]):
+                        call.end(REPLIES[words[1]], body)
+        except StreamClosedError:
+            pass
+        except Malformed as error:
+            self.log.say(f"the catalogue's link can't be read: {error}")
+        finally:
+            self.over = True
+            self.stream.close()
+            self.intake.close()
+            # One that was never connected carried nothing; one that broke proves nothing.
+            outcome = Outcome.RESET if self.connected else Outcome.UNREACHED
+            for call in list(self.calls.values()):
+                call.end(outcome)
+
+    def write(self, line: bytes) -> None:
+        if not self.connected:
+            return self.early.append(line)
+        send(self.stream, line)
+
+
+class Catalogue:
+    def __init__(self, address: tuple[str, int] | None, pool: BufferPool, bounds: Bounds, log: Log) -> None:
+        self.address, self.pool, self.bounds, self.log = address, pool, bounds, log
+        self.links: list[CallLink] = []
+
+    def fetch(self, ex: LiveExchange, until: int, body: bytes) -> None:
+        """Place the call that its run waits for; a REPLY tells how it ended."""
+        if self.address is None:
+            return ex.tell(News.REPLY, Outcome.UNREACHED, b"", 0)
+        link = self._link(ex)
+        ex.call = link.calls[ex.ident] = Call(ex, link, until)
+        wait_ms = max(1, (until - ex.call.placed) // MS)
+        link.write(b"FETCH %s %d %d\r\n%s\r\n" % (ex.ident, wait_ms, len(body), body))
+
+    def quit(self, ex: LiveExchange) -> None:
+        """Nobody needs its call any more."""
+        if ex.call:
+            ex.call.give_up(None)
+
+    def _link(self, ex: LiveExchange) -> CallLink:
+        self._trim()
+        usable = [link for link in self.links if link not in ex.soiled]
+        if not usable and len(self.links) >= self.bounds.call_links:
+            usable = [self.links[0]]
+        if not usable:
+            usable = [CallLink(self.address, self.pool, self.bounds, self.log)]
+            self.links += usable
+        return min(usable, key=lambda link: len(link.calls))
+
+    def _trim(self) -> None:
+        """Drop what has ended, and close what is idle before the catalogue does: no call meets its close."""
+        now = time.monotonic_ns()
+        for link in list(self.links):
+            if not link.over and not link.calls and now - link.used > self.bounds.call_idle:
+                link.over = True
+                link.stream.close()
+            if link.over:
+                self.links.remove(link)
+
--- /dev/null
+++ b/oakkeel/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The link to the directory, through which dispatchers find nodes."""
--- /dev/null
+++ b/oakkeel/dispatch/codec.py
@@ -0,0 +1,89 @@
+"""The words and fields that dispatchers use, and the exchanges made of them."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Callable
+from typing import Any
+
+from oakkeel.bounds import MS
+from oakkeel.dispatch.resp import encode
+from oakkeel.exchange import LiveExchange
+from oakkeel.interface import Effect, EndpointGroup, NodeLimits, Tenant
+
+CALL, CANCEL, CHECK = b"CALL", b"CANCEL", b"CHECK"
+COMPLETED, DENIED, TERMINATED = b"ok", b"full", b"fault"
+GOOD, BAD = b"yes", b"no"
+LAST = encode(b"0", b"last")
+
+
+class Unreadable(ValueError):
+    """An array whose tag is good but whose group or fields are not."""
+
+
+class ExchangeReader:
+    """Makes exchanges of the words of a CALL, by the endpoint groups and tenants of this node."""
+
+    def __init__(self, limits: NodeLimits, groups: list[str], tenants: list[str],
+                 unix_ns: Callable[[], int] = time.time_ns) -> None:
+        self.groups: dict[bytes, EndpointGroup] = {
+            name.encode(): group for name, group in zip(groups, limits.groups, strict=False)
+        }
+        self.tenants: dict[bytes, Tenant] = {
+            name.encode(): tenant for name, tenant in zip(tenants, limits.tenants, strict=False)
+        }
+        self.unix_ns = unix_ns
+
+    def read(self, tag: int, words: list[bytes], connection: Any) -> LiveExchange:
+        if len(words) not in (4, 5) or words[2] not in self.groups:
+            raise Unreadable("an unknown endpoint group" if len(words) in (4, 5) else "too few or many words")
+        group = self.groups[words[2]]
+        fields = dict(item.partition(b"=")[::2] for item in words[3].split(b",") if item)
+        ident = fields.get(b"req", b"")
+        if len(ident) != 16:
+            raise Unreadable("no id")
+        # How old it is, and how long its caller still waits, as of now: both count from its stamp.
+        age = max(0, self.unix_ns() - int(self._number(fields, b"ts") * MS)) if b"ts" in fields else 0
+        waits = int(self._number(fields, b"timeout") * MS) if b"timeout" in fields else 0
+        mark = fields.get(b"opkey" if group.effect is Effect.DEDUPLICATED else b"subject", b"")
+        return LiveExchange(
+            group=group,
+            tenant=self.tenants.get(fields.get(b"owner", b"")),
+            caller=int(self._number(fields, b"via")) if b"via" in fields else 0,
+            memory_kb=self._number(fields, b"need"),
+            marked_retry=fields.get(b"resent") == b"1",
+            left=max(1, waits - age) if waits else 0,
+            backlog=age,
+            has_key=bool(mark),
+            repeats=False,
+            ident=ident,
+            tag=tag,
+            group_name=words[2],
+            body=words[4] if len(words) == 5 else b"",
+            key=(group.index, mark) if mark else None,
+            connection=connection,
+        )
+
+    @staticmethod
+    def _number(fields: dict[bytes, bytes], name: bytes) -> float:
+        try:
+            value = float(fields.get(name, b"none"))
+        except ValueError:
+            value = math.nan
+        if not 0 <= value < 1e15:
+            raise Unreadable(f"no number in {name.decode()}")
+        return value
+
+
+def answer(tag: int, word: bytes, signal: float | None, body: bytes = b"", last: bool = False,
+           retry_after: int = 0) -> bytes:
+    """An answer, or the answer to a check, with the advice as it stands now."""
+    fields = []
+    if signal is not None:
+        fields.append(b"signal=%.4f" % signal)
+    if retry_after:
+        fields.append(b"holdoff=%d" % max(1, round(retry_after / MS)))
+    if last:
+        fields.append(b"nomore=1")
+    return encode(b"%d" % tag, word, b",".join(fields), body)
--- /dev/null
+++ b/oakkeel/dispatch/listener.py
@@ -0,0 +1,111 @@
+"""The listening socket, and the connections that came through it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+from tornado.netutil import add_accept_handler
+
+from oakkeel.bounds import SECOND, Bounds
+from oakkeel.dispatch.connection import Connection, Front
+from oakkeel.log import Log
+from oakkeel.streams import BufferPool
+
+
+class Listener:
+    def __init__(self, address: tuple[str, int], pool: BufferPool, bounds: Bounds, front: Front,
+                 log: Log) -> None:
+        self.pool, self.bounds, self.front, self.log = pool, bounds, front, log
+        self.connections: set[Connection] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.idle: dict[Connection, int] = {}  # since when nothing is open on it, the longest first
+        self.idle_after = 0  # 0: idle connections stay
+        self.idle_timer: asyncio.TimerHandle | None = None
+        self.emptied = asyncio.Event()  # set whenever a connection ends
+        self.refuse: Callable[[], None] | None = None
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setblocking(False)
+        self.socket.bind(address)
+        self.socket.listen(1024)
+
+    def open(self) -> None:
+        if self.refuse is None:
+            self.refuse = add_accept_handler(self.socket, self._accept)
+
+    def close(self) -> None:
+        """Take no new connection: a refused one proves to its dispatcher that nothing ran."""
+        if self.refuse:
+            self.refuse()
+            self.refuse = None
+        self.socket.close()
+
+    def _accept(self, accepted: socket.socket, _: object) -> None:
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(accepted, max_buffer_size=self.bounds.buffer_size,
+                          read_chunk_size=self.bounds.buffer_size)
+        connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._idle_changed)
+        self.connections.add(connection)
+        task = asyncio.ensure_future(self._serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        if len(self.connections) >= self.bounds.connections and self.refuse:
+            self.log.say("no descriptors left: no new connections until one ends")
+            self.refuse()
+            self.refuse = None
+            self._trim(longest=True)
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            await connection.serve()
+        except Exception as error:  # one connection must not end the node
+            self.log.say(f"a connection ended by {type(error).__name__}: {error}")
+        finally:
+            self.connections.discard(connection)
+            self.idle.pop(connection, None)
+            self.emptied.set()
+            if self.socket.fileno() >= 0 and len(self.connections) < self.bounds.connections:
+                self.open()
+
+    def last(self) -> None:
+        for connection in list(self.connections):
+            connection.leave()
+
+    async def gone(self) -> None:
+        """Wait until every connection has ended."""
+        while self.connections:
+            self.emptied.clear()
+            await self.emptied.wait()
+
+    # Idle connections.
+
+    def close_idle(self, after: int) -> None:
+        self.idle_after = after
+        self._trim()
+
+    def _idle_changed(self, connection: Connection) -> None:
+        if connection.open:
+            self.idle.pop(connection, None)
+        else:
+            self.idle[connection] = time.monotonic_ns()
+            if self.idle_timer is None:
+                self._trim()
+
+    def _trim(self, longest: bool = False) -> None:
+        """Ask those to close that were idle for long enough, and come back when the next may have been."""
+        if self.idle_timer:
+            self.idle_timer.cancel()
+            self.idle_timer = None
+        now = time.monotonic_ns()
+        while self.idle and (self.idle_after or longest):
+            connection, since = next(iter(self.idle.items()))
+            if not longest and (wait := since + self.idle_after - now) > 0:
+                self.idle_timer = asyncio.get_running_loop().call_later(wait / SECOND, self._trim)
+                return
+            longest = False
+            del self.idle[connection]
+            connection.leave()
--- /dev/null
+++ b/oakkeel/dispatch/resp.py
@@ -0,0 +1,58 @@
+"""RESP arrays of bulk strings: the parser and the encoder."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from oakkeel.lines import number
+from oakkeel.streams import Intake, Malformed
+
+
+def arrays(intake: Intake, most_words: int) -> Iterator[list[bytes]]:
+    """The whole arrays that the intake holds; what is not whole yet stays in it."""
+    while (found := _array(intake, most_words)) is not None:
+        words, intake.start = found
+        yield words
+
+
+def _array(intake: Intake, most_words: int) -> tuple[list[bytes], int] | None:
+    if (head := _length(intake, intake.start, b"*")) is None:
+        return None
+    count, at = head
+    if not 1 <= count <= most_words:
+        raise Malformed(f"an array of {count} words")
+    words = []
+    for _ in range(count):
+        if (head := _length(intake, at, b"$")) is None:
+            return None
+        length, at = head
+        if at + length + 2 - intake.start > len(intake.buffer):
+            raise Malformed(f"a word of {length} bytes")
+        if at + length + 2 > intake.end:
+            return None
+        words.append(bytes(intake.buffer[at : at + length]))
+        at += length + 2
+        if intake.buffer[at - 2 : at] != b"\r\n":
+            raise Malformed("no end behind a word")
+    return words, at
+
+
+def _length(intake: Intake, at: int, sign: bytes) -> tuple[int, int] | None:
+    """The number behind a sign, and where its line ends."""
+    if at == intake.end:
+        return None
+    if intake.buffer[at : at + 1] != sign:
+        raise Malformed(f"{bytes(intake.buffer[at : at + 1])!r} in place of {sign!r}")
+    end = intake.buffer.find(b"\r\n", at, min(intake.end, at + 16))
+    if end < 0:
+        if intake.end - at >= 16:
+            raise Malformed("a length without end")
+        return None
+    return number(bytes(intake.buffer[at + 1 : end])), end + 2
+
+
+def encode(*words: bytes) -> bytes:
+    parts = [b"*%d\r\n" % len(words)]
+    for word in words:
+        parts += (b"$%d\r\n" % len(word), word, b"\r\n")
+    return b"".join(parts)
--- /dev/null
+++ b/oakkeel/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The link to the engine, which owns the cores and does the work."""
--- /dev/null
+++ b/oakkeel/engine/link.py
@@ -0,0 +1,205 @@
+"""One lasting link to the engine: commands out, notices in, both kept through the loss of a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from oakkeel.bounds import SECOND, Bounds
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.interface import Outcome
+from oakkeel.lines import LineParser, milliseconds, number
+from oakkeel.log import Log
+from oakkeel.streams import BufferPool, Intake, Malformed, connect, send
+
+WITH_BODY = frozenset({(0, b"DONE"), (0, b"NEED")})
+ENDS = {
+    b"success": Outcome.COMPLETED,
+    b"failure": Outcome.ERROR,
+    b"interrupted": Outcome.STOPPED,
+    b"nothing": Outcome.MOOT,
+}
+
+
+@dataclass(slots=True, eq=False)
+class Command:
+    """A command that the engine has not been heard to have read."""
+
+    line: bytes
+    ex: LiveExchange | None  # None for a mark: the gauges were asked for here
+    verb: bytes
+    tag: bytes = b""
+    heard: int = 0  # the number of the last notice for the exchange when it was given
+    written: bool = False
+
+    def owed(self) -> bool:
+        """Whether it may be sent again on a new link.
+
+        A later notice for the exchange tells that a RUN, FEED or SKIP was carried out. What may not take
+        effect twice is not run again where the first command may have been read, only never written ones are.
+        """
+        ex = self.ex
+        if ex is None or not ex.in_engine:
+            return False
+        if self.verb == b"HALT":
+            return True
+        return self.heard == ex.heard and not (self.written and self.verb == b"RUN" and ex.group.once)
+
+
+class EngineLink:
+    """Commands are written at once while the link is open; else they wait for it."""
+
+    def __init__(self, address: tuple[str, int], pool: BufferPool, bounds: Bounds, log: Log,
+                 started: Callable[[bool, int], None]) -> None:
+        self.address, self.pool, self.bounds, self.log, self.started = address, pool, bounds, log, started
+        self.runs: dict[bytes, LiveExchange] = {}
+        self.unconfirmed: deque[Command] = deque()
+        self.asked: dict[bytes, asyncio.Future[list[float]]] = {}  # gauges, by tag
+        self.tags = count(1)
+        self.heard = 0  # the number of the last notice read
+        self.up = False  # the engine has said how it started
+        self.barrier = b""  # the tag of the gauges that end the taking up of a link
+        self.stream: IOStream | None = None
+        self.open = False  # attached, and all that was missed is read
+        self.losses = self.slow_gauges = 0
+
+    async def serve(self) -> None:
+        """Attach and read, again and again."""
+        while True:
+            stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
+            intake = Intake(self.pool)
+            try:
+                await connect(stream, self.address)
+                self.stream = stream
+                send(stream, b"ATTACH %d\r\n" % self.heard)
+                parser = LineParser(intake, WITH_BODY, self.bounds.words)
+                while True:
+                    await intake.fill(stream)
+                    for words, body in parser.messages():
+                        self._notice(words, body)
+            except StreamClosedError:
+                pass
+            except Malformed as error:
+                self.log.say(f"the engine's link can't be read: {error}")
+            finally:
+                stream.close()
+                intake.close()
+                if self.stream is stream:
+                    self.losses += 1
+                    self.log.say("the engine's link is lost")
+                self.stream, self.open = None, False
+            await asyncio.sleep(self.bounds.engine_retry / SECOND)
+
+    # Commands.
+
+    def run(self, ex: LiveExchange) -> None:
+        ex.in_engine = True
+        self.runs[ex.ident] = ex
+        self._command(ex, b"RUN", b"%s %d" % (ex.group_name, len(ex.body)), ex.body)
+
+    def halt(self, ex: LiveExchange) -> None:
+        self._command(ex, b"HALT")
+
+    def feed(self, ex: LiveExchange, reply: bytes) -> None:
+        self._command(ex, b"FEED", b"%d" % len(reply), reply)
+
+    def skip(self, ex: LiveExchange, notice: int) -> None:
+        self._command(ex, b"SKIP", b"%d" % notice)
+
+    def _command(self, ex: LiveExchange, verb: bytes, rest: bytes = b"", body: bytes | None = None) -> None:
+        line = b" ".join((verb, ex.ident, rest)).rstrip() + b"\r\n"
+        if body is not None:
+            line += body + b"\r\n"
+        self._send(Command(line, ex, verb, heard=ex.heard))
+
+    def _send(self, command: Command) -> None:
+        if len(self.unconfirmed) >= self.bounds.commands:
+            self.unconfirmed = deque(old for old in self.unconfirmed if old.ex is None or old.owed())
+        self.unconfirmed.append(command)
+        if self.open:
+            self._write(command)
+
+    def _write(self, command: Command) -> None:
+        if self.stream and send(self.stream, command.line):
+            command.written = True
+
+    def ask_gauges(self) -> asyncio.Future[list[float]] | None:
+        """Ask for the gauges; None while there is no link to ask on."""
+        if not self.open:
+            return None
+        tag = b"%d" % next(self.tags)
+        self.asked[tag] = asyncio.get_running_loop().create_future()
+        self._send(Command(b"STAT %s\r\n" % tag, None, b"STAT", tag))
+        return self.asked[tag]
+
+    # Notices.
+
+    def _notice(self, words: list[bytes], body: bytes) -> None:
+        verb = words[0]
+        try:
+            if verb == b"HELLO":
+                self._hello(words[1], milliseconds(words[2]))
+            elif verb == b"STATS":
+                self._stats(words[1], [float(word) for word in words[2:]])
+            elif verb in (b"DONE", b"NEED", b"NOTE"):
+                numbered = number(words[1])
+                if numbered <= self.heard:
+                    return  # told once already, before the link was lost
+                self.heard = numbered
+                if verb == b"DONE":
+                    self._done(words[2], ENDS[words[3]], milliseconds(words[4]), body)
+                elif verb == b"NEED" and (ex := self.runs.get(words[2])):
+                    ex.heard = numbered
+                    ex.tell(News.NEED, numbered, body)
+            elif verb == b"NO":
+                self._not_carried_out(words[1], words[2])
+            else:
+                raise Malformed(f"an unknown notice {verb[:20]!r}")
+        except (IndexError, KeyError, ValueError) as error:
+            raise Malformed(f"a notice {b' '.join(words)[:60]!r}") from error
+
+    def _done(self, ident: bytes, outcome: Outcome, spent: int, result: bytes) -> None:
+        if ex := self.runs.pop(ident, None):
+            ex.in_engine = False
+            ex.tell(News.DONE, outcome, result, spent)
+
+    def _not_carried_out(self, verb: bytes, ident: bytes) -> None:
+        """A run that never began ends here; the engine needs none of the other commands."""
+        self.log.say(f"the engine did not carry out {verb.decode(errors='replace')}")
+        if verb == b"RUN":
+            self._done(ident, Outcome.ERROR, 0, b"")
+
+    def _hello(self, state: bytes, age: int) -> None:
+        """Attached: what was missed follows, and the answer to a STAT sent now comes after all of it."""
+        if not self.up:
+            self.up = True
+            self.started(state == b"booting", age)
+        self.barrier = b"b%d" % next(self.tags)
+        if self.stream:
+            send(self.stream, b"STAT %s\r\n" % self.barrier)
+
+    def _stats(self, tag: bytes, values: list[float]) -> None:
+        if tag == self.barrier:
+            self.barrier = b""
+            self._take_up()
+        elif tag in self.asked:
+            while self.unconfirmed and self.unconfirmed.popleft().tag != tag:
+                pass  # the engine read all that was written before the question
+            future = self.asked.pop(tag)
+            if not future.done():
+                future.set_result(values)
+
+    def _take_up(self) -> None:
+        """Send again what is still owed, now that all that was missed is known."""
+        self.asked.clear()  # who waits for gauges that were lost stops waiting by itself
+        self.unconfirmed = deque(command for command in self.unconfirmed if command.owed())
+        self.open = True
+        for command in self.unconfirmed:
+            self._write(command)
+
--- /dev/null
+++ b/oakkeel/exchange.py
@@ -0,0 +1,63 @@
+"""An exchange as a node on sockets holds it: what the decisions keep, where it came from, and its news."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any
+
+from oakkeel.interface import Exchange
+
+
+class News(Enum):
+    """What the life of an exchange can wait for."""
+
+    # The verdicts of the decisions.
+    RUN = auto()
+    DENY = auto()  # whether to try nowhere else, time to stay away
+    TERMINATE = auto()
+    STOP = auto()
+    CALL = auto()  # until when
+    LEAVE_OUT = auto()
+    SHARE = auto()
+    # What the others tell.
+    GONE = auto()  # the caller gave up
+    NEED = auto()  # the number of the notice, the body of the call
+    REPLY = auto()  # the call, its outcome, its body
+    DONE = auto()  # the outcome, the result, how long it took
+    SHARED = auto()  # the outcome and the result of the one that it repeats
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class LiveExchange(Exchange):
+    """One exchange with its place at the door; its life reads the news in the order in which it came."""
+
+    ident: bytes
+    tag: int
+    group_name: bytes
+    body: bytes
+    key: tuple[int, bytes] | None  # endpoint group and key, where repeats can be known
+    connection: Any  # what it came on and is answered on
+
+    answered: bool = False  # or no answer is owed any more
+    in_engine: bool = False  # from the command to run until the notice that the run is over
+    heard: int = 0  # the number of the last notice for it
+    call: Any = None  # the call in flight
+    soiled: list = field(default_factory=list)  # links on which a call of its was given up
+    earlier: Any = None  # what is kept of the exchange that it repeats
+    kept_as: Any = None  # what is kept of itself
+    news: deque = field(default_factory=deque)
+    waiter: asyncio.Future | None = None
+
+    def tell(self, what: News, *words: Any) -> None:
+        self.news.append((what, *words))
+        if self.waiter and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def hear(self) -> tuple:
+        while not self.news:
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        return self.news.popleft()
--- a/oakkeel/simhost/settings.py
+++ b/oakkeel/limits.py
@@ -1,9 +1,13 @@
-"""The settings that come with an instance's start, as the limits of a node. Unknown ones are skipped."""
+"""What a node is told at its start, read into `NodeLimits`: from path=value text or from nested JSON.
+
+Unknown paths are skipped. A front that fails to read what it needs gets a `LimitsError` with one plain line.
+"""
 
 from __future__ import annotations
 
+from typing import Any, NoReturn
+
 from oakkeel.interface import AdviceKind, Below, Effect, EndpointGroup, NodeLimits, StopKind, Tenant
-from oakkeel.simhost.wire import fail
 
 EFFECTS = {
     "read_like": Effect.REPEATABLE,
@@ -18,13 +22,49 @@
     "share_of": AdviceKind.SHARE,
 }
 BELOW = {"silent": Below.NOTHING, "shared": Below.SHARED, "tier": Below.TIER}
+GAUGES = {
+    "core_use": "core_busy",
+    "on_cores": "run_queue",
+    "heap_share": "memory_share",
+    "links": "connections",
+}
+
+
+class LimitsError(ValueError):
+    """What a node is told can't be read, or lacks what it needs."""
+
+
+def fail(text: str) -> NoReturn:
+    raise LimitsError(text)
+
+
+def flatten(value: Any, path: str = "") -> dict[str, str]:
+    """Nested JSON as the paths that the text form has: plain lists joined, lists of objects counted."""
+    if isinstance(value, dict):
+        inner = [(f"{path}.{name}" if path else str(name), item) for name, item in value.items()]
+    elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        inner = [(f"{path}.{index}", item) for index, item in enumerate(value)]
+        inner.append((f"{path}.count", len(value)))
+    elif isinstance(value, list):
+        return {path: ",".join(_word(item) for item in value)}
+    else:
+        return {path: _word(value)}
+    return {name: word for place, item in inner for name, word in flatten(item, place).items()}
+
+
+def _word(value: Any) -> str:
+    return str(value).lower() if isinstance(value, bool) else "" if value is None else str(value)
 
 
 class Pairs:
-    """The path=value lines of a start; `get` tolerates an absent path, `need` does not."""
+    """The paths and values of a start; `get` tolerates an absent path, `need` does not."""
+
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
 
-    def __init__(self, text: str) -> None:
-        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    @classmethod
+    def from_text(cls, text: str) -> Pairs:
+        return cls(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
 
     def get(self, path: str, default: str) -> str:
         return self.values.get(path) or default
@@ -60,10 +100,17 @@
             fail(f"settings hold no number: {path}={value}")
 
 
-def read_limits(text: str) -> tuple[NodeLimits, list[str]]:
-    """The limits of a node, and the names of its gauges in their order."""
-    pairs = Pairs(text)
-    limits = NodeLimits(
+    def gauges(self) -> list[str | None]:
+        """The fields of `Gauges` in the order in which their values come; None for one we don't read."""
+        return [GAUGES.get(name) for name in self.get("extra.gauges", "").split(",")]
+
+    def names(self, path: str) -> list[str]:
+        return [self.get(f"{path}.{index}.name", "") for index in range(int(self.number(f"{path}.count")))]
+
+
+def read_limits(pairs: Pairs) -> NodeLimits:
+    """The limits of a node."""
+    return NodeLimits(
         cores=int(pairs.needed_number("extra.cores")),
         memory_kb=pairs.needed_number("extra.heap-kb"),
         run_factor=pairs.needed_number("extra.run-factor"),
@@ -91,7 +138,6 @@
             for index in range(int(pairs.number("tenants.count")))
         ],
     )
-    return limits, pairs.get("extra.gauges", "").split(",")
 
 
 def _group(pairs: Pairs, index: int) -> EndpointGroup:
--- /dev/null
+++ b/oakkeel/lines.py
@@ -0,0 +1,52 @@
+"""Lines of words that end in CR LF, some followed by as many bytes as their last word says, and CR LF."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from oakkeel.bounds import MS
+from oakkeel.streams import Intake, Malformed
+
+
+class LineParser:
+    """Takes whole messages out of an intake: the words of the line, and the bytes that follow it."""
+
+    def __init__(self, intake: Intake, with_body: frozenset[tuple[int, bytes]], most_words: int) -> None:
+        """`with_body` holds place and word of the lines whose last word is a length."""
+        self.intake, self.with_body, self.most_words = intake, with_body, most_words
+
+    def messages(self) -> Iterator[tuple[list[bytes], bytes]]:
+        intake = self.intake
+        while (at := intake.buffer.find(b"\r\n", intake.start, intake.end)) >= 0:
+            words = bytes(intake.buffer[intake.start : at]).split(None, self.most_words)
+            if not words:
+                raise Malformed("a line of no words")
+            after, body = at + 2, b""
+            if any((place, word) in self.with_body for place, word in enumerate(words[:2])):
+                length = number(words[-1])
+                if after + length + 2 - intake.start > len(intake.buffer):
+                    raise Malformed(f"a body of {length} bytes")
+                if after + length + 2 > intake.end:
+                    return
+                body, after = bytes(intake.buffer[after : after + length]), after + length + 2
+                if intake.buffer[after - 2 : after] != b"\r\n":
+                    raise Malformed("no end behind a body")
+            intake.start = after
+            yield words, body
+
+
+def number(word: bytes) -> int:
+    if not word.isdigit() or len(word) > 20:
+        raise Malformed(f"no number: {word[:20]!r}")
+    return int(word)
+
+
+def milliseconds(word: bytes) -> int:
+    """A time in milliseconds, whole or not, as nanoseconds."""
+    try:
+        value = float(word)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e12:
+        raise Malformed(f"no time: {word[:20]!r}")
+    return int(value * MS)
--- /dev/null
+++ b/oakkeel/node/assembly.py
@@ -0,0 +1,126 @@
+"""One node put together: its start, its drain, its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+
+from oakkeel.bounds import SECOND
+from oakkeel.catalogue.links import Catalogue
+from oakkeel.directory.reports import Reports
+from oakkeel.dispatch.codec import ExchangeReader
+from oakkeel.dispatch.listener import Listener
+from oakkeel.engine.link import EngineLink
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.log import Log
+from oakkeel.node.host import NodeHost
+from oakkeel.node.kept import KeptExchanges
+from oakkeel.node.life import Lives
+from oakkeel.node.measures import Measures
+from oakkeel.node.start import Start
+from oakkeel.streams import BufferPool
+
+
+class Node:
+    """The front of all connections, and the order in which the parts start and end."""
+
+    def __init__(self, start: Start) -> None:
+        bounds = start.bounds
+        self.start, self.bounds = start, bounds
+        self.log = Log(start.name, bounds.log_lines)
+        self.measures = Measures()
+        links = 2 + bounds.call_links
+        self.pool = BufferPool(bounds.buffer_size, bounds.connections + 2 * links)
+        self.reader: ExchangeReader | None = None
+        self.lives: dict[LiveExchange, asyncio.Task] = {}
+        self.done = asyncio.Event()
+        self.idle = asyncio.Event()
+        self.draining: asyncio.Task | None = None
+        self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
+        self.reports = Reports(start.lookup, start.name, bounds)
+        self.engine = EngineLink(start.engine, self.pool, bounds, self.log, self._engine_up)
+        self.catalogue = Catalogue(start.catalogue, self.pool, bounds, self.log)
+        self.kept = KeptExchanges(bounds, start.limits.fresh)
+        self.host = NodeHost(start, self.engine, self.listener, self.reports, self.kept, self.measures,
+                             self.log)
+        self.life = Lives(self.host, self.engine, self.catalogue, self.kept, self.measures, self.log)
+
+    async def run(self) -> None:
+        """From the start to the end of the drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave)
+        self.listener.open()
+        self.reports.start()
+        serving = asyncio.ensure_future(self.engine.serve())
+        loop.call_later(self.bounds.measures / SECOND, self._measure)
+        gc.collect()
+        gc.freeze()  # what is loaded by now lives as long as the process
+        self.log.say(f"listening on {self.start.listen[0]}:{self.start.listen[1]}")
+        await self.done.wait()
+        serving.cancel()
+        self.reports.close()
+        self.log.say(self._measured())
+        self.log.say("left")
+
+    def _engine_up(self, cold: bool, age: int) -> None:
+        self.host.begin(cold, age)
+        self.reader = ExchangeReader(self.start.limits, self.start.groups, self.start.tenants)
+        self.log.say(f"the engine is up, {'cold' if cold else 'steady'}, {age / SECOND:.1f} s old")
+
+    # The front of the connections.
+
+    def arrived(self, ex: LiveExchange) -> None:
+        self.measures.read += 1
+        task = asyncio.ensure_future(self.life.live(ex))
+        self.lives[ex] = task
+        task.add_done_callback(lambda _: self._ended(ex))
+
+    def _ended(self, ex: LiveExchange) -> None:
+        del self.lives[ex]
+        if not self.lives:
+            self.idle.set()
+
+    def gone(self, ex: LiveExchange) -> None:
+        if not ex.answered:
+            ex.answered = True  # nothing is owed any more
+            ex.tell(News.GONE)
+
+    def healthy(self) -> bool:
+        return self.host.good and self.host.keel is not None and not self.draining
+
+    def signal(self) -> float | None:
+        return self.host.signal
+
+    # The drain.
+
+    def leave(self) -> None:
+        """The notice to leave; a second one changes nothing."""
+        if self.draining is None:
+            self.draining = asyncio.ensure_future(self._drain())
+
+    async def _drain(self) -> None:
+        """End once all that was read is answered and every dispatcher has closed its connections."""
+        self.log.say("told to leave")
+        self.reports.set_taking(False)
+        if self.host.keel is not None:
+            self.host.tell(self.host.keel.leave, self.bounds.stop_after)
+            self.listener.last()
+            await asyncio.sleep(self.start.limits.drain_grace / SECOND)
+        self.listener.close()
+        self.listener.last()
+        while any(not ex.answered for ex in self.lives):
+            self.idle.clear()
+            await self.idle.wait()
+        await self.listener.gone()
+        self.done.set()
+
+    # Measures.
+
+    def _measure(self) -> None:
+        self.log.say(self._measured())
+        asyncio.get_running_loop().call_later(self.bounds.measures / SECOND, self._measure)
+
+    def _measured(self) -> str:
+        return self.measures.line(len(self.listener.connections), len(self.lives), self.engine.losses)
--- /dev/null
+++ b/oakkeel/node/host.py
@@ -0,0 +1,126 @@
+"""The `Host` of one node's decisions: verdicts go to the lives of exchanges, the rest to the links."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from oakkeel.bounds import SECOND
+from oakkeel.directory.reports import Reports
+from oakkeel.dispatch.listener import Listener
+from oakkeel.engine.link import EngineLink
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.interface import Gauges
+from oakkeel.log import Log
+from oakkeel.node.kept import KeptExchanges
+from oakkeel.node.measures import Measures
+from oakkeel.node.start import Start
+from oakkeel.policy import Keel
+
+
+class NodeHost:
+    """Carries out what `Keel` asks, and brings it the time, the timers and the gauges."""
+
+    def __init__(self, start: Start, engine: EngineLink, listener: Listener, reports: Reports,
+                 kept: KeptExchanges, measures: Measures, log: Log) -> None:
+        self.engine, self.listener, self.reports, self.kept = engine, listener, reports, kept
+        self.start, self.measures, self.log = start, measures, log
+        self.loop = asyncio.get_running_loop()
+        self.gauges = Gauges()
+        self.good = True
+        self.signal: float | None = None
+        self.settling = False
+        self.timers: set[asyncio.Task] = set()
+        self.keel: Keel | None = None
+
+    def begin(self, cold: bool, age: int) -> None:
+        """The engine is up: the decisions count their time from its start."""
+        limits = self.start.limits
+        limits.cold = limits.cold or cold
+        self.keel = Keel(self, limits, self.start.seed, time.monotonic_ns() - age)
+
+    def tell(self, act: Callable[..., None], *words: object) -> None:
+        """Tell the decisions what happened; they settle once for what one pass of the loop brought."""
+        act(time.monotonic_ns(), *words)
+        if not self.settling:
+            self.settling = True
+            self.loop.call_soon(self._settle)
+
+    def _settle(self) -> None:
+        self.settling = False
+        try:
+            self.keel.settle(time.monotonic_ns())
+        except Exception as error:  # the node lives on
+            self.log.say(f"settling: {type(error).__name__}: {error}")
+
+    # Verdicts.
+
+    def run(self, ex: LiveExchange) -> None:
+        ex.tell(News.RUN)
+
+    def deny(self, ex: LiveExchange, last: bool, retry_after: int) -> None:
+        ex.tell(News.DENY, last, retry_after)
+
+    def terminate(self, ex: LiveExchange) -> None:
+        ex.tell(News.TERMINATE)
+
+    def stop(self, ex: LiveExchange) -> None:
+        ex.tell(News.STOP)
+
+    def call(self, ex: LiveExchange, until: int) -> None:
+        ex.tell(News.CALL, until)
+
+    def leave_out(self, ex: LiveExchange) -> None:
+        ex.tell(News.LEAVE_OUT)
+
+    def share(self, ex: LiveExchange) -> None:
+        ex.tell(News.SHARE)
+
+    def remember(self, ex: LiveExchange, duration: int) -> None:
+        self.kept.remember(ex, time.monotonic_ns(), duration)
+
+    def forget(self, ex: LiveExchange) -> None:
+        self.kept.forget(ex)
+
+    # Timers.
+
+    def set_timer(self, token: int, at: int) -> None:
+        self.loop.call_at(at / SECOND, self._due, token, at)
+
+    def _due(self, token: int, at: int) -> None:
+        self.measures.timer_late(time.monotonic_ns() - at)
+        task = self.loop.create_task(self._ring(token))
+        self.timers.add(task)
+        task.add_done_callback(self.timers.discard)
+
+    async def _ring(self, token: int) -> None:
+        """The decisions compare the gauges with what they run now: gauges of a second ago mislead them."""
+        try:
+            if asked := self.engine.ask_gauges():
+                await asyncio.wait((asked,), timeout=self.start.bounds.gauges_wait / SECOND)
+            if asked and asked.done():
+                for name, value in zip(self.start.gauges, asked.result(), strict=False):
+                    if name:
+                        setattr(self.gauges, name, value)
+            else:
+                self.measures.gauges_missed += 1
+            self.tell(self.keel.timer, token, self.gauges)
+        except Exception as error:  # the node lives on
+            self.log.say(f"a timer: {type(error).__name__}: {error}")
+
+    # The node as a whole.
+
+    def set_health(self, good: bool, stored: bool) -> None:
+        self.good = good
+        if self.start.readiness:
+            self.reports.set_taking(good)
+
+    def advise(self, value: float) -> None:
+        self.signal = value
+
+    def close_idle(self, after: int) -> None:
+        self.listener.close_idle(after)
+
+    def note(self, text: str) -> None:
+        self.log.say(text)
--- /dev/null
+++ b/oakkeel/node/life.py
@@ -0,0 +1,123 @@
+"""The life of one exchange, from its last byte to its one answer and the end of its run."""
+
+from __future__ import annotations
+
+import time
+
+from oakkeel.catalogue.links import Catalogue
+from oakkeel.dispatch import codec
+from oakkeel.engine.link import EngineLink
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.interface import Outcome, State
+from oakkeel.log import Log
+from oakkeel.node.host import NodeHost
+from oakkeel.node.kept import KeptExchanges
+from oakkeel.node.measures import Measures
+
+OVER = (None,)
+
+
+class Lives:
+    def __init__(self, host: NodeHost, engine: EngineLink, catalogue: Catalogue, kept: KeptExchanges,
+                 measures: Measures, log: Log) -> None:
+        self.host, self.engine, self.catalogue, self.kept = host, engine, catalogue, kept
+        self.measures, self.log = measures, log
+
+    async def live(self, ex: LiveExchange) -> None:
+        """Read, decided, run, its calls made, answered once."""
+        keel, engine, tell = self.host.keel, self.engine, self.host.tell
+        try:
+            ex.repeats = self.kept.find(ex, time.monotonic_ns())
+            tell(keel.arrive, ex)
+            what, *words = await self._next(ex)
+            if what is News.SHARE:
+                self.kept.share(ex)
+                what, *words = await self._next(ex)
+            if what is News.SHARED:
+                outcome, result = words
+                tell(keel.run_done, ex, outcome, 0)
+                return self._answer_run(ex, outcome, result)
+            if what is not News.RUN:
+                return  # denied, or its caller is gone
+            engine.run(ex)
+            what, *words = await self._next(ex)
+            while what is News.NEED:
+                notice, call_body = words
+                tell(keel.at_call, ex)
+                what, *words = await self._next(ex)
+                while what is News.CALL:
+                    self.catalogue.fetch(ex, words[0], call_body)
+                    what, *words = await self._next(ex)
+                    if what is News.REPLY:
+                        outcome, reply, spent = words
+                        tell(keel.call_done, ex, outcome, spent)
+                        if outcome is Outcome.COMPLETED and ex.state is State.RUNNING:
+                            engine.feed(ex, reply)
+                        what, *words = await self._next(ex)
+                if what is News.LEAVE_OUT:
+                    engine.skip(ex, notice)
+                    what, *words = await self._next(ex)
+            if what is not News.DONE:
+                raise RuntimeError(f"{what} in state {ex.state.name}")
+            self._run_over(ex, *words)
+        except Exception as error:  # it is answered and the node lives on
+            self.log.say(f"an exchange in state {ex.state.name}: {type(error).__name__}: {error}")
+            await self._wind_up(ex)
+        finally:
+            self.catalogue.quit(ex)
+            self.kept.ended(ex, Outcome.ERROR, b"")
+
+    async def _next(self, ex: LiveExchange) -> tuple:
+        """The next news, after an early answer is given, a stop passed on or the caller's end told."""
+        while True:
+            if ex.state is State.OVER and not ex.in_engine and not ex.news:
+                return OVER
+            what, *words = news = await ex.hear()
+            if what is News.DENY:
+                self._answer(ex, codec.DENIED, b"", *words)
+            elif what is News.TERMINATE:
+                self._answer(ex, codec.TERMINATED)
+            elif what is News.STOP:
+                self.engine.halt(ex)
+            elif what is News.GONE:
+                self.host.tell(self.host.keel.gone, ex)
+            else:
+                return news
+            if ex.answered:
+                self.catalogue.quit(ex)  # nobody waits for what its call brings
+
+    def _run_over(self, ex: LiveExchange, outcome: Outcome, result: bytes, spent: int) -> None:
+        # Nothing was started where the dispatcher had given up before we heard of it. The decisions count
+        # this one as running: told that it never was there, they would count it for ever.
+        told = Outcome.STOPPED if outcome is Outcome.MOOT else outcome
+        self.host.tell(self.host.keel.run_done, ex, told, spent)
+        self.kept.ended(ex, told, result)
+        self._answer_run(ex, outcome, result)
+
+    def _answer_run(self, ex: LiveExchange, outcome: Outcome, result: bytes) -> None:
+        if outcome is Outcome.COMPLETED:
+            self._answer(ex, codec.COMPLETED, result)
+        else:
+            self._answer(ex, codec.TERMINATED)
+
+    def _answer(self, ex: LiveExchange, word: bytes, body: bytes = b"", last: bool = False,
+                retry_after: int = 0) -> None:
+        """The one place that answers; what was answered, or whose caller is gone, is not answered again."""
+        if not ex.answered:
+            ex.answered = True
+            self.measures.count(word)
+            ex.connection.answer(ex, word, body, last, retry_after)
+
+    async def _wind_up(self, ex: LiveExchange) -> None:
+        """After an error of ours: answer it, and follow its run to the end, so that its cores are counted."""
+        self._answer(ex, codec.TERMINATED)
+        try:
+            self.host.tell(self.host.keel.gone, ex)
+            while ex.in_engine or ex.news:
+                what, *words = await ex.hear()
+                if what is News.STOP:
+                    self.engine.halt(ex)
+                elif what is News.DONE:
+                    self._run_over(ex, *words)
+        except Exception as error:
+            self.log.say(f"winding up: {type(error).__name__}: {error}")
--- /dev/null
+++ b/oakkeel/node/measures.py
@@ -0,0 +1,53 @@
+"""What a node measures of itself, written to the log now and then."""
+
+from __future__ import annotations
+
+import os
+import time
+
+from oakkeel.bounds import MS, SECOND
+
+
+class Measures:
+    """Counts since the last line; how late timers came is counted by doubled steps of milliseconds."""
+
+    STEPS = 12
+
+    def __init__(self) -> None:
+        self.read = 0
+        self.answered: dict[bytes, int] = {}
+        self.late = [0] * (self.STEPS + 1)
+        self.latest = self.gauges_missed = 0
+        self.cpu, self.since = time.process_time_ns(), time.monotonic_ns()
+
+    def timer_late(self, by: int) -> None:
+        self.late[min(self.STEPS, max(0, by // MS).bit_length())] += 1
+        self.latest = max(self.latest, by)
+
+    def count(self, word: bytes) -> None:
+        self.answered[word] = self.answered.get(word, 0) + 1
+
+    def _late_share(self, share: float) -> int:
+        """The milliseconds under which that share of the timers stayed."""
+        wanted = share * sum(self.late)
+        for step, count in enumerate(self.late):
+            wanted -= count
+            if wanted <= 0:
+                return 1 << step
+        return 1 << self.STEPS
+
+    def line(self, connections: int, open_exchanges: int, losses: int) -> str:
+        now, cpu = time.monotonic_ns(), time.process_time_ns()
+        with open("/proc/self/statm", encoding="ascii") as file:
+            resident = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+        answers = " ".join(f"{word.decode()}={count}" for word, count in sorted(self.answered.items()))
+        text = (
+            f"measures: read={self.read} {answers} open={open_exchanges} connections={connections}"
+            f" descriptors={len(os.listdir('/proc/self/fd'))} resident_mb={resident:.1f}"
+            f" cpu={(cpu - self.cpu) / max(1, now - self.since):.3f} timers={sum(self.late)}"
+            f" late_ms_half<{self._late_share(0.5)} late_ms_99<{self._late_share(0.99)}"
+            f" latest_ms={self.latest / MS:.1f} gauges_missed={self.gauges_missed} link_losses={losses}"
+            f" over_s={(now - self.since) / SECOND:.1f}"
+        )
+        self.__init__()
+        return text
--- /dev/null
+++ b/oakkeel/node/start.py
@@ -0,0 +1,79 @@
+"""What a node is told when it starts: its variables and the file that they name."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from oakkeel.bounds import MS, Bounds
+from oakkeel.interface import NodeLimits
+from oakkeel.limits import LimitsError, Pairs, fail, flatten, read_limits
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Start:
+    """Everything that a node goes by."""
+
+    name: str
+    listen: Address
+    engine: Address
+    lookup: Address
+    catalogue: Address | None  # nodes of the last tier have none
+    seed: int
+    bounds: Bounds
+    limits: NodeLimits
+    gauges: list[str | None]
+    groups: list[str]
+    tenants: list[str]
+    readiness: bool  # the directory follows the node's health
+
+
+def read_start(variables: Mapping[str, str]) -> Start:
+    path = variables.get("PROXY_CONFIG") or fail("PROXY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as error:
+        raise LimitsError(f"the configuration can't be read: {error}") from None
+    if not isinstance(told, dict):
+        fail("the configuration is no JSON object")
+    pairs = Pairs(flatten({name: value for name, value in told.items() if name != "settings"}))
+    node = Pairs(flatten(told.get("settings") or {}))
+    try:
+        return Start(
+            name=variables.get("PROXY_NAME") or pairs.need("name"),
+            listen=_address(variables.get("PROXY_LISTEN") or pairs.need("listen")),
+            engine=_address(pairs.need("engine")),
+            lookup=_address(pairs.need("lookup")),
+            catalogue=_address(pairs.get("catalog", "")) if pairs.get("catalog", "") else None,
+            seed=_seed(told.get("seed", 0)),
+            bounds=Bounds(
+                sockets=int(pairs.needed_number("limits.sockets")),
+                memory=int(pairs.needed_number("limits.memory_mb") * 1024 * 1024),
+                stop_after=int(pairs.needed_number("stop_ms") * MS),
+            ),
+            limits=read_limits(node),
+            gauges=node.gauges(),
+            groups=node.names("classes"),
+            tenants=node.names("tenants"),
+            readiness=node.flag("extra.readiness"),
+        )
+    except LimitsError:
+        raise
+    except (ValueError, OverflowError, AttributeError) as error:
+        raise LimitsError(f"the configuration holds what can't be used: {error}") from None
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        fail(f"no address: {text}")
+    return host, int(port)
+
+
+def _seed(value: Any) -> int:
+    return int(value, 16) if isinstance(value, str) else int(value)
--- a/oakkeel/simhost/instance.py
+++ b/oakkeel/simhost/instance.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from oakkeel.interface import Effect, Exchange, Gauges, Outcome
+from oakkeel.limits import LimitsError, Pairs, read_limits
 from oakkeel.policy import Keel
 from oakkeel.simhost import wire
-from oakkeel.simhost.settings import read_limits
 
 OUTCOMES = {
     200: Outcome.COMPLETED,
@@ -17,12 +17,6 @@
     444: Outcome.STOPPED,
     409: Outcome.MOOT,
 }
-GAUGES = {
-    "core_use": "core_busy",
-    "on_cores": "run_queue",
-    "heap_share": "memory_share",
-    "links": "connections",
-}
 
 
 class Instance:
@@ -31,8 +25,12 @@
     def __init__(self, number: int, seed: int, text: str, now: int, reply: wire.Reply) -> None:
         self.number = number
         self.reply = reply
-        self.limits, names = read_limits(text)
-        self.gauge_names = [GAUGES.get(name) for name in names]
+        pairs = Pairs.from_text(text)
+        try:
+            self.limits = read_limits(pairs)
+        except LimitsError as error:
+            wire.fail(str(error))
+        self.gauge_names = pairs.gauges()
         self.gauges = Gauges()
         self.exchanges: dict[int, Exchange] = {}
         self.ids: dict[Exchange, int] = {}
