Tell the node's stories over sockets; give up calls that never left as unreached

Found while writing them: a call given up while its connection was still being made was told as given up, though it never left (catalogue/links.py, give_up); a drain waited for runs that nobody waits for (node/assembly.py, _drain); SIGTERM before the engine was up let its later start open the door again (_engine_up).

--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -45,8 +45,11 @@
 
     def give_up(self, outcome: Outcome | None = Outcome.GIVEN_UP) -> None:
         """A reply may still cross this: the next call of the exchange must take another link."""
-        self.ex.soiled.append(self.link)
-        self.link.write(b"QUIT %s\r\n" % self.ex.ident)
+        if self.link.early.pop(self.ex.ident, None) is None:
+            self.ex.soiled.append(self.link)
+            self.link.write(b"QUIT %s\r\n" % self.ex.ident)
+        elif outcome is not None:
+            outcome = Outcome.UNREACHED  # it never left
         self.end(outcome)
 
 
@@ -60,14 +63,14 @@
         self.used = time.monotonic_ns()
         self.stream = IOStream(socket.socket(), max_write_buffer_size=bounds.backlog)
         self.intake = Intake(pool)
-        self.early: list[bytes] = []  # written while it connects
+        self.early: dict[bytes, bytes] = {}  # calls placed while it connects, by exchange
         self.task = asyncio.ensure_future(self._serve())
 
     async def _serve(self) -> None:
         try:
             await connect(self.stream, self.address)
             self.connected = True
-            for line in self.early:
+            for line in self.early.values():
                 self.write(line)
             self.early.clear()
             parser = LineParser(self.intake, WITH_BODY, self.bounds.words)
@@ -91,9 +94,13 @@
             for call in list(self.calls.values()):
                 call.end(outcome)
 
+    def place(self, ident: bytes, line: bytes) -> None:
+        if self.connected:
+            self.write(line)
+        else:
+            self.early[ident] = line
+
     def write(self, line: bytes) -> None:
-        if not self.connected:
-            return self.early.append(line)
         send(self.stream, line)
 
 
@@ -104,27 +111,28 @@
 
     def fetch(self, ex: LiveExchange, until: int, body: bytes) -> None:
         """Place the call that its run waits for; a REPLY tells how it ended."""
-        if self.address is None:
-            return ex.tell(News.REPLY, Outcome.UNREACHED, b"", 0)
         link = self._link(ex)
+        if link is None:
+            return ex.tell(News.REPLY, Outcome.UNREACHED, b"", 0)
         ex.call = link.calls[ex.ident] = Call(ex, link, until)
         wait_ms = max(1, (until - ex.call.placed) // MS)
-        link.write(b"FETCH %s %d %d\r\n%s\r\n" % (ex.ident, wait_ms, len(body), body))
+        link.place(ex.ident, b"FETCH %s %d %d\r\n%s\r\n" % (ex.ident, wait_ms, len(body), body))
 
     def quit(self, ex: LiveExchange) -> None:
         """Nobody needs its call any more."""
         if ex.call:
             ex.call.give_up(None)
 
-    def _link(self, ex: LiveExchange) -> CallLink:
+    def _link(self, ex: LiveExchange) -> CallLink | None:
+        """The least busy link on which no given-up call of this exchange may still be replied to."""
         self._trim()
+        if self.address is None:
+            return None
         usable = [link for link in self.links if link not in ex.soiled]
-        if not usable and len(self.links) >= self.bounds.call_links:
-            usable = [self.links[0]]
-        if not usable:
+        if not usable and len(self.links) < self.bounds.call_links:
             usable = [CallLink(self.address, self.pool, self.bounds, self.log)]
             self.links += usable
-        return min(usable, key=lambda link: len(link.calls))
+        return min(usable, key=lambda link: len(link.calls), default=None)
 
     def _trim(self) -> None:
         """Drop what has ended, and close what is idle before the catalogue does: no call meets its close."""
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -36,7 +36,6 @@
         self.idle_changed = idle_changed  # called with the connection whenever it gets busy or idle
         self.intake = Intake(pool)
         self.open: dict[int, LiveExchange] = {}
-        self.carried = False  # an exchange, at some time
         self.leaving = False  # `0 last` is sent
         self.unread = 0  # bytes of answers that are not on their way yet
         self.moved = asyncio.Event()  # set when an exchange on it is over or an answer on its way
@@ -85,7 +84,6 @@
         except codec.Unreadable as error:
             self.log.say(f"an exchange can't be read: {error}")
             return self.write(codec.answer(tag, codec.TERMINATED, self.front.signal()))
-        self.carried = True
         self.open[tag] = ex
         self.idle_changed(self)
         self.front.arrived(ex)
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -35,7 +35,6 @@
         self.reader: ExchangeReader | None = None
         self.lives: dict[LiveExchange, asyncio.Task] = {}
         self.done = asyncio.Event()
-        self.idle = asyncio.Event()
         self.draining: asyncio.Task | None = None
         self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
         self.reports = Reports(start.lookup, start.name, bounds)
@@ -57,7 +56,8 @@
         loop.call_later(self.bounds.measures / SECOND, self._measure)
         gc.collect()
         gc.freeze()  # what is loaded by now lives as long as the process
-        self.log.say(f"listening on {self.start.listen[0]}:{self.start.listen[1]}")
+        host, port = self.listener.socket.getsockname()
+        self.log.say(f"listening on {host}:{port}")
         await self.done.wait()
         serving.cancel()
         self.reports.close()
@@ -65,6 +65,8 @@
         self.log.say("left")
 
     def _engine_up(self, cold: bool, age: int) -> None:
+        if self.draining:
+            return  # it leaves without having taken anything
         self.host.begin(cold, age)
         self.reader = ExchangeReader(self.start.limits, self.start.groups, self.start.tenants)
         self.log.say(f"the engine is up, {'cold' if cold else 'steady'}, {age / SECOND:.1f} s old")
@@ -75,12 +77,7 @@
         self.measures.read += 1
         task = asyncio.ensure_future(self.life.live(ex))
         self.lives[ex] = task
-        task.add_done_callback(lambda _: self._ended(ex))
-
-    def _ended(self, ex: LiveExchange) -> None:
-        del self.lives[ex]
-        if not self.lives:
-            self.idle.set()
+        task.add_done_callback(lambda _: self.lives.pop(ex))
 
     def gone(self, ex: LiveExchange) -> None:
         if not ex.answered:
@@ -110,10 +107,7 @@
             await asyncio.sleep(self.start.limits.drain_grace / SECOND)
         self.listener.close()
         self.listener.last()
-        while any(not ex.answered for ex in self.lives):
-            self.idle.clear()
-            await self.idle.wait()
-        await self.listener.gone()
+        await self.listener.gone()  # each ends only when all on it is answered and on its way
         self.done.set()
 
     # Measures.
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -35,10 +35,10 @@
         self.keel: Keel | None = None
 
     def begin(self, cold: bool, age: int) -> None:
-        """The engine is up: the decisions count their time from its start."""
+        """The engine is up: where it has just booted, the node is cold since then."""
         limits = self.start.limits
         limits.cold = limits.cold or cold
-        self.keel = Keel(self, limits, self.start.seed, time.monotonic_ns() - age)
+        self.keel = Keel(self, limits, self.start.seed, time.monotonic_ns() - (age if cold else 0))
 
     def tell(self, act: Callable[..., None], *words: object) -> None:
         """Tell the decisions what happened; they settle once for what one pass of the loop brought."""
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/life.py
@@ -28,6 +28,8 @@
         keel, engine, tell = self.host.keel, self.engine, self.host.tell
         try:
             ex.repeats = self.kept.find(ex, time.monotonic_ns())
+            if ex.key and ex.group.once and not ex.repeats and self.kept.full(time.monotonic_ns()):
+                return self._answer(ex, codec.DENIED)  # its repeats could not be told from it
             tell(keel.arrive, ex)
             what, *words = await self._next(ex)
             if what is News.SHARE:
--- a/oakkeel/node/measures.py
+++ b/oakkeel/node/measures.py
@@ -14,6 +14,9 @@
     STEPS = 12
 
     def __init__(self) -> None:
+        self._restart()
+
+    def _restart(self) -> None:
         self.read = 0
         self.answered: dict[bytes, int] = {}
         self.late = [0] * (self.STEPS + 1)
@@ -49,5 +52,5 @@
             f" latest_ms={self.latest / MS:.1f} gauges_missed={self.gauges_missed} link_losses={losses}"
             f" over_s={(now - self.since) / SECOND:.1f}"
         )
-        self.__init__()
+        self._restart()
         return text
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,237 @@
+"""Stories of the network code's parts that need no whole program."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+
+from oakkeel.bounds import MS, SECOND, Bounds
+from oakkeel.catalogue.links import Catalogue
+from oakkeel.dispatch.resp import arrays, encode
+from oakkeel.exchange import LiveExchange, News
+from oakkeel.interface import Outcome, State
+from oakkeel.limits import Pairs, flatten, read_limits
+from oakkeel.lines import LineParser
+from oakkeel.log import Log
+from oakkeel.node.kept import KeptExchanges
+from oakkeel.node.life import Lives
+from oakkeel.node.measures import Measures
+from oakkeel.streams import BufferPool, Intake, Malformed
+from tests.fake import GROUP, TOLD, FakeHost, replace
+
+BOUNDS = Bounds(sockets=1024, memory=192 * 2**20, stop_after=3 * SECOND)
+LOG = Log("test", 0)
+
+
+def exchange(ident: bytes = b"9b1f03aa5c7e2d41", mark: bytes = b"", group=GROUP, **fields) -> LiveExchange:
+    return LiveExchange(
+        **{
+            **dict(group=group, tenant=None, caller=0, memory_kb=50, marked_retry=False, left=5 * SECOND,
+                   backlog=0, has_key=bool(mark), repeats=False, ident=ident, tag=1, group_name=b"quote",
+                   body=b"", key=(group.index, mark) if mark else None, connection=None),
+            **fields,
+        }
+    )
+
+
+def split(data: bytes, step: int, parse) -> list:
+    """What a parser makes of bytes that come in pieces of one size."""
+    intake, found = Intake(BufferPool(512, 1)), []
+    for at in range(0, len(data), step):
+        intake.add(data[at : at + step])
+        found += parse(intake)
+    return found
+
+
+class ParserStories(unittest.TestCase):
+    def test_arrays_are_the_same_in_pieces_of_any_size(self):
+        wanted = [[b"CALL", b"7", b"checkout", b"req=1", b"*1\r\n$\r\n\0"], [b"CANCEL", b"7"],
+                  [b"CHECK", b"8", b""]]
+        data = b"".join(encode(*words) for words in wanted)
+        for step in (1, 2, 3, 7, len(data)):
+            self.assertEqual(split(data, step, lambda intake: list(arrays(intake, 16))), wanted)
+
+    def test_what_is_no_array_is_named(self):
+        for data in (b"CALL 7\r\n", b"*0\r\n", b"*99\r\n", b"*1\r\n:1\r\n", b"*1\r\n$1\r\nxyz", b"*x\r\n",
+                     b"*" + b"1" * 20, b"*1\r\n$600\r\n", b"*1\r\n$-1\r\n"):
+            with self.assertRaises(Malformed, msg=data):
+                split(data, len(data), lambda intake: list(arrays(intake, 16)))
+
+    def test_lines_are_the_same_in_pieces_of_any_size(self):
+        wanted = [
+            ([b"HELLO", b"steady", b"12.5"], b""),
+            ([b"DONE", b"1", b"9b1f", b"success", b"77.4", b"6"], b"\r\nDONE"),
+            ([b"NEED", b"2", b"9b1f", b"0"], b""),
+            ([b"9b1f", b"DATA", b"3"], b"a\r\n"),
+        ]
+        data = b"".join(b" ".join(words) + b"\r\n" + (body + b"\r\n" if at else b"")
+                        for at, (words, body) in enumerate(wanted))
+        with_body = frozenset({(0, b"DONE"), (0, b"NEED"), (1, b"DATA")})
+        for step in (1, 2, 5, len(data)):
+            parsers = {}
+            found = split(data, step, lambda intake: list(
+                parsers.setdefault(0, LineParser(intake, with_body, 16)).messages()))  # noqa: B023
+            self.assertEqual(found, wanted)
+
+    def test_lines_that_cant_be_read_are_named(self):
+        for data in (b"\r\n", b"DONE 1 x success 1 many\r\n", b"DONE 1 x success 1 9999\r\n",
+                     b"DONE 1 x success 1 2\r\nabcd"):
+            with self.assertRaises(Malformed, msg=data):
+                split(data, len(data),
+                      lambda intake: list(LineParser(intake, frozenset({(0, b"DONE")}), 16).messages()))
+
+    def test_buffers_are_used_again_and_their_number_is_bounded(self):
+        pool = BufferPool(64, 1)
+        first = pool.lease()
+        self.assertRaises(MemoryError, pool.lease)
+        pool.give_back(first)
+        self.assertIs(pool.lease(), first)
+
+    def test_nested_json_and_text_give_a_node_the_same_limits(self):
+        values = flatten(TOLD)
+        text = "\n".join(f"{path}={value}" for path, value in values.items())
+        self.assertEqual(values["classes.count"], "4")
+        self.assertEqual(str(read_limits(Pairs(values)).groups[0].slo_time), "8000000000")
+        self.assertEqual(Pairs.from_text(text).values, values)
+
+
+class CatalogueStories(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.peers: asyncio.Queue[tuple] = asyncio.Queue()
+        self.writers = []
+        self.server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
+        address = self.server.sockets[0].getsockname()
+        self.catalogue = Catalogue(address, BufferPool(8192, 9), BOUNDS, LOG)
+
+    async def _accepted(self, reader, writer):
+        self.writers.append(writer)
+        self.peers.put_nowait((reader, writer))
+
+    async def asyncTearDown(self):
+        for link in self.catalogue.links:
+            link.stream.close()
+        await asyncio.gather(*(link.task for link in self.catalogue.links))
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
+    async def test_a_late_reply_is_not_taken_for_that_of_the_next_call(self):
+        # Replies name only the exchange: one that crosses the QUIT of its call looked like its successor's.
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 50 * MS, b"first")
+        reader, writer = await self.peers.get()
+        self.assertTrue((await reader.readline()).startswith(b"FETCH"))
+        self.assertEqual((await ex.hear())[:2], (News.REPLY, Outcome.GIVEN_UP))
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"second")
+        again, writer_again = await self.peers.get()
+        await again.readline()
+        writer.write(b"%s DATA 3\r\nold\r\n" % ex.ident)
+        await writer.drain()
+        self.assertEqual([await reader.readline() for _ in range(2)][1][:4], b"QUIT")
+        writer_again.write(b"%s DATA 3\r\nnew\r\n" % ex.ident)
+        self.assertEqual((await ex.hear())[:3], (News.REPLY, Outcome.COMPLETED, b"new"))
+
+    async def test_each_reply_is_the_outcome_that_it_proves(self):
+        for word, outcome in ((b"LATER", Outcome.DENIED), (b"FAULT", Outcome.ERROR), (b"NOUSE", Outcome.MOOT),
+                              (b"TOOSLOW", Outcome.GIVEN_UP)):
+            ex = exchange(b"%016x" % len(word))
+            self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+            if not self.catalogue.links[0].connected:
+                _, writer = await self.peers.get()
+            writer.write(b"%s %s\r\n" % (ex.ident, word))
+            self.assertEqual((await ex.hear())[1], outcome)
+        self.assertEqual(len(self.catalogue.links), 1)
+
+    async def test_an_idle_link_is_not_used_again_just_before_it_is_closed(self):
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        _, writer = await self.peers.get()
+        writer.write(b"%s FAULT\r\n" % ex.ident)
+        await ex.hear()
+        first = self.catalogue.links[0]
+        first.used -= 9 * SECOND
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        self.assertTrue(first.stream.closed())
+        self.assertIsNot(self.catalogue.links[0], first)
+
+    async def test_a_call_that_waits_for_its_connection_when_its_time_is_up_never_ran(self):
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"first")
+        ex.call.give_up()
+        self.assertEqual((await ex.hear())[1], Outcome.UNREACHED)
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"second")
+        reader, _ = await self.peers.get()
+        await reader.readline()
+        self.assertEqual(await reader.readline(), b"second\r\n")
+
+
+class KeptStories(unittest.TestCase):
+    def test_a_read_is_shared_while_fresh_and_not_after(self):
+        kept, first = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s")
+        now = time.monotonic_ns()
+        kept.remember(first, now, 5 * SECOND)
+        self.assertTrue(kept.find(exchange(mark=b"s"), now))
+        kept.ended(first, Outcome.COMPLETED, b"r")
+        self.assertTrue(kept.find(exchange(mark=b"s"), now + SECOND // 2))
+        self.assertFalse(kept.find(exchange(mark=b"s"), now + 2 * SECOND))
+        self.assertFalse(kept.find(exchange(mark=b"other"), now))
+
+    def test_followers_of_one_that_is_dropped_unrun_are_told(self):
+        kept, first, follower = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s"), exchange(mark=b"s")
+        kept.remember(first, 0, SECOND)
+        kept.find(follower, 0)
+        kept.share(follower)
+        kept.forget(first)
+        self.assertEqual(follower.news.popleft()[:2], (News.SHARED, Outcome.ERROR))
+        self.assertFalse(kept.find(exchange(mark=b"s"), 0))
+
+    def test_what_is_kept_is_bounded_and_a_key_that_must_not_run_twice_is_never_dropped(self):
+        bounds = replace(BOUNDS, memory=4 * BOUNDS.kept_size * 2)  # room for two
+        once = replace(GROUP, effect=FakeHost(groups=[{}]).limits.groups[0].effect.__class__.DEDUPLICATED)
+        kept = KeptExchanges(bounds, SECOND)
+        kept.remember(exchange(mark=b"a", group=once), 0, SECOND)
+        kept.remember(exchange(mark=b"b"), 0, SECOND)
+        kept.remember(exchange(mark=b"c", group=once), 0, SECOND)  # in place of the read
+        self.assertEqual([key for _, key in kept.kept], [b"a", b"c"])
+        self.assertTrue(kept.full(SECOND // 2))
+        self.assertFalse(kept.full(SECOND))
+
+
+class LifeStories(unittest.IsolatedAsyncioTestCase):
+    async def test_an_error_answers_its_exchange_and_the_next_one_lives(self):
+        said = []
+
+        class Parts:  # the host, the decisions, the engine, the catalogue and a connection in one
+            def __getattr__(self, name):
+                return lambda *words: said.append((name, *words))
+
+            def tell(self, act, *words):
+                act(0, *words)
+
+            def arrive(self, now, ex):
+                raise RuntimeError("a defect")
+
+        parts = Parts()
+        parts.keel = parts
+        lives = Lives(parts, parts, parts, KeptExchanges(BOUNDS, 0), Measures(), LOG)
+        for _ in range(2):
+            ex = exchange(connection=parts)
+            await asyncio.wait_for(lives.live(ex), 5)
+            self.assertIn(("answer", ex, b"fault", b"", False, 0), said)
+
+    async def test_news_come_in_order(self):
+        ex = exchange()
+        ex.tell(News.RUN)
+        ex.tell(News.STOP)
+        self.assertEqual([(await ex.hear())[0], (await ex.hear())[0]], [News.RUN, News.STOP])
+        waiting = asyncio.ensure_future(ex.hear())
+        await asyncio.sleep(0)
+        ex.tell(News.GONE)
+        self.assertEqual(await waiting, (News.GONE,))
+        self.assertEqual(ex.state, State.READ)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,397 @@
+"""Stories of the whole program: started as `run` does, spoken to over sockets."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import time
+import unittest
+
+from tests.fake import TOLD, WAIT, CatalogueLink, NodeStory
+
+ANY_BYTES = bytes(range(256)) * 4 + b"\r\n*3\r\n$1\r\n"
+
+
+class ExchangeStories(NodeStory):
+    def test_an_exchange_is_run_and_its_result_comes_back_unchanged(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("quote", ANY_BYTES)
+        self.assertEqual(self.engine.next(), ("RUN", ident, "quote", str(len(ANY_BYTES)), ANY_BYTES))
+        self.engine.done(ident, body=ANY_BYTES * 3)
+        self.assertEqual(dispatcher.answer(), (1, b"ok", b"signal=1.0000", ANY_BYTES * 3))
+
+    def test_answers_may_overtake_each_other_and_a_failed_run_is_terminated(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        first, second = dispatcher.call(), dispatcher.call("card", b"")
+        self.assertEqual({self.engine.next()[1], self.engine.next()[1]}, {first, second})
+        self.engine.say("NOTE 1 " + "a remark of no meaning " * 20)
+        self.engine.number = 1
+        self.engine.done(second, "failure", b"")
+        self.assertEqual(dispatcher.answer()[:2], (2, b"fault"))
+        self.engine.done(first)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+
+    def test_a_run_that_needs_a_call_is_fed_its_reply(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("card")
+        self.engine.next()
+        self.engine.need(ident, ANY_BYTES)
+        link = CatalogueLink(self.catalogue)
+        verb, told, wait, _, body = link.next()
+        self.assertEqual((verb, told, body), ("FETCH", ident, ANY_BYTES))
+        self.assertTrue(0 < int(wait) <= 8000)
+        link.say(f"{ident} DATA {len(ANY_BYTES)}", ANY_BYTES)
+        self.assertEqual(self.engine.next(), ("FEED", ident, str(len(ANY_BYTES)), ANY_BYTES))
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+        link.close()
+
+    def test_a_call_that_fails_is_left_out_where_that_earns(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("quote")
+        self.engine.next()
+        self.engine.need(ident)
+        link = CatalogueLink(self.catalogue)
+        link.next()
+        link.say(f"{ident} FAULT")
+        self.assertEqual(self.engine.next()[:3], ("SKIP", ident, "1"))
+        link.close()
+
+    def test_a_refused_call_never_ran_and_a_broken_one_proves_nothing(self):
+        # A mutating exchange shows the difference: the first is placed again, the second is terminated.
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("pay")
+        self.engine.next()
+        self.engine.need(ident)
+        link = CatalogueLink(self.catalogue)
+        self.assertEqual(link.next()[:2], ("FETCH", ident))
+        link.say(f"{ident} LATER")
+        self.assertEqual(link.next()[:2], ("FETCH", ident))
+        link.close()
+        self.assertEqual(dispatcher.answer()[:2], (1, b"fault"))
+
+    def test_with_no_catalogue_there_every_call_is_unreached(self):
+        self.begin(catalog="127.0.0.1:1")
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("quote")
+        self.engine.next()
+        self.engine.need(ident)
+        self.assertEqual(self.engine.next()[:2], ("SKIP", ident))
+
+    def test_an_unreadable_catalogue_is_connected_to_anew(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("card")
+        self.engine.next()
+        self.engine.need(ident)
+        link = CatalogueLink(self.catalogue)
+        link.next()
+        link.say("what is this")
+        again = CatalogueLink(self.catalogue)
+        self.assertEqual(again.next()[:2], ("FETCH", ident))
+        link.close()
+        again.close()
+
+    def test_a_flood_is_denied_with_when_to_return(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        for _ in range(30):
+            dispatcher.call("card")
+        tag, word, fields, _ = dispatcher.answer()
+        self.assertEqual(word, b"full")
+        self.assertIn(b"holdoff=", fields)
+        self.assertIn(b"signal=", fields)
+
+    def test_an_exchange_read_late_counts_its_age_from_its_stamp(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        dispatcher.call("card", age=7990)
+        self.assertEqual(dispatcher.answer()[1], b"full")
+
+    def test_what_can_no_longer_be_in_time_is_answered_and_its_run_stopped(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("pay", timeout=1500)
+        self.engine.next()
+        self.assertEqual(dispatcher.answer()[:2], (1, b"fault"))
+        self.assertEqual(self.engine.next()[:2], ("HALT", ident))
+        self.engine.done(ident, "interrupted", b"")
+        self.engine.done(dispatcher.call() and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
+
+    def test_a_cancelled_exchange_is_stopped_and_its_result_dropped(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.next()
+        dispatcher.send("CANCEL", "1")
+        dispatcher.send("CANCEL", "1")
+        dispatcher.send("CANCEL", "77")
+        self.assertEqual(self.engine.next()[:2], ("HALT", ident))
+        self.engine.done(ident)
+        dispatcher.call(tag=5)
+        self.engine.done(self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (5, b"ok"))
+
+    def test_a_call_whose_exchange_is_cancelled_is_quit(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("card")
+        self.engine.next()
+        self.engine.need(ident)
+        link = CatalogueLink(self.catalogue)
+        link.next()
+        dispatcher.send("CANCEL", "1")
+        self.assertEqual(link.next()[:2], ("QUIT", ident))
+        link.close()
+
+    def test_runs_that_were_never_started_leave_the_cores_free(self):
+        # A cancel that crossed the command to run: the engine answers `nothing`, which the decisions
+        # ignored, so that each such exchange was counted as running for ever.
+        self.begin()
+        dispatcher = self.dispatcher()
+        for _ in range(12):
+            ident = dispatcher.call()
+            self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+            self.engine.done(ident, "nothing", b"")
+            self.assertEqual(dispatcher.answer()[1], b"fault")
+
+    def test_a_command_to_run_that_was_not_carried_out_terminates_its_exchange(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.next()
+        self.engine.say(f"NO RUN {ident}")
+        self.assertEqual(dispatcher.answer()[1], b"fault")
+
+    def test_repeats_of_a_kept_exchange_take_its_one_result(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("order", fields=",opkey=k1")
+        self.engine.next()
+        dispatcher.call("order", fields=",opkey=k1,resent=1")
+        self.engine.done(ident, body=b"once")
+        self.assertEqual([dispatcher.answer()[1::2] for _ in range(2)], [(b"ok", b"once")] * 2)
+        dispatcher.call("order", fields=",opkey=k1")
+        self.assertEqual(dispatcher.answer()[1::2], (b"ok", b"once"))
+        other = dispatcher.call("order", fields=",opkey=k2")
+        self.assertEqual(self.engine.next()[:2], ("RUN", other))
+
+
+class DispatcherStories(NodeStory):
+    def test_a_health_check_tells_the_advice(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        dispatcher.send("CHECK", "8", "")
+        self.assertEqual(dispatcher.answer()[:3], (8, b"yes", b"signal=1.0000"))
+
+    def test_before_its_engine_is_up_a_node_is_not_well_and_runs_nothing(self):
+        self.begin(attach=False)
+        dispatcher = self.dispatcher()
+        dispatcher.send("CHECK", "8", "")
+        self.assertEqual(dispatcher.answer()[:2], (8, b"no"))
+        dispatcher.call(tag=9)
+        self.assertEqual(dispatcher.answer()[:2], (9, b"full"))
+
+    def test_a_node_whose_engine_has_just_booted_is_cold_since_then(self):
+        self.begin(state="booting", age="2500.0")
+        dispatcher = self.dispatcher()
+        dispatcher.send("CHECK", "1", "")
+        share = float(dispatcher.answer()[2].removeprefix(b"signal="))
+        self.assertTrue(0.25 + 0.75 * 0.25 <= share < 0.9, share)
+
+    def test_what_cant_be_read_is_answered_and_its_connection_lives(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        dispatcher.call("unheard-of")
+        dispatcher.call(fields=",need=much")
+        dispatcher.send("CALL", "3", "quote", "ts=1", b"")
+        self.assertEqual([dispatcher.answer()[:2] for _ in range(3)],
+                         [(1, b"fault"), (2, b"fault"), (3, b"fault")])
+        self.engine.done(dispatcher.call(tag=4) and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (4, b"ok"))
+
+    def test_bytes_that_are_no_array_end_a_connection_once_all_on_it_is_answered(self):
+        self.begin()
+        for garbage in (b"GET / HTTP/1.1\r\n\r\n", b"*2\r\n$9999999\r\n", b"*2\r\n$-1\r\n",
+                        b"*3\r\n$4\r\nCALL\r\n$1\r\n0\r\n$0\r\n\r\n", b"*1\r\n$8000\r\n" + b"x" * 9000):
+            dispatcher = self.dispatcher()
+            ident = dispatcher.call()
+            self.engine.next()
+            dispatcher.socket.sendall(garbage)
+            self.log("can't be read")
+            self.engine.done(ident)
+            self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(dispatcher.next(), [])
+
+    def test_a_dispatcher_that_takes_no_answers_holds_up_nobody(self):
+        self.begin()
+        stuck, other = self.dispatcher(), self.dispatcher()
+        stuck.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        stuck.socket.settimeout(0.5)
+        with contextlib.suppress(TimeoutError):
+            for number in range(1, 200_000):
+                stuck.send("CHECK", str(number), "")
+        # The node has ceased to read from it; what it could not send yet stays bounded.
+        with open(f"/proc/{self.process.pid}/statm") as file:
+            self.assertLess(int(file.read().split()[1]) * 4096, 64 * 2**20)
+        self.engine.done(other.call() and self.engine.next()[1])
+        self.assertEqual(other.answer()[1], b"ok")
+
+    def test_an_idle_connection_is_told_that_no_more_shall_come_before_it_ends(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.next()
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.next()[:2], [b"1", b"ok"])
+        self.assertEqual(dispatcher.next(), [b"0", b"last"])
+        ident = dispatcher.call()  # one that crossed the word is still served
+        self.engine.done(self.engine.next()[1])
+        self.assertEqual(dispatcher.next()[:2], [b"2", b"ok"])
+        self.assertEqual(dispatcher.next(), [])
+
+
+class EngineLinkStories(NodeStory):
+    def test_a_lost_link_is_taken_up_with_nothing_lost_or_run_again(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ended, running = dispatcher.call(), dispatcher.call()
+        self.assertEqual({self.engine.next()[1], self.engine.next()[1]}, {ended, running})
+        self.engine.need(running)
+        link = CatalogueLink(self.catalogue)
+        self.assertEqual(link.next()[:2], ("FETCH", running))
+        self.engine.lose()
+        self.assertEqual(self.engine.attach(answer=False), 1)
+        # What was missed comes before the answer to the barrier; only then is anything sent again.
+        self.engine.say("HELLO steady 70000.0")
+        self.engine.say(f"NEED 1 {running} 4", b"call")
+        self.engine.done(ended)
+        barrier = self.engine.stream.readline().split()
+        self.assertEqual(barrier[0], b"STAT")
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+        self.engine.say(f"STATS {barrier[1].decode()} 0.1 0.0 0.1 1.0")
+        third = dispatcher.call()
+        while (line := self.engine.stream.readline().split())[0] == b"STAT":
+            pass
+        self.assertEqual(line[:2], [b"RUN", third.encode()])
+        link.close()
+
+    def test_a_command_that_the_engine_never_read_is_sent_again(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        read, unread = dispatcher.call(), dispatcher.call("pay")
+        self.engine.next()
+        self.engine.next()
+        self.engine.lose()
+        self.log("link is lost")
+        late = dispatcher.call()
+        self.engine.attach()
+        # The link broke before the gauges proved that RUN was read. A repeatable one is sent again, to no
+        # effect where it runs; a mutating one may run already and is not.
+        self.assertEqual([self.engine.next()[:2] for _ in range(2)], [("RUN", read), ("RUN", late)])
+        self.engine.done(unread)
+        self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
+
+    def test_a_line_of_the_engine_that_cant_be_read_makes_the_link_anew(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call("pay")
+        self.engine.next()
+        self.engine.say("DONE what is this")
+        self.engine.attach()
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+
+
+class EndStories(NodeStory):
+    def test_a_drain_answers_all_runs_nothing_after_the_grace_and_ends(self):
+        self.begin()
+        dispatcher, late = self.dispatcher(), self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.next()
+        self.assertEqual(self.report(), "PULSE n3 open")
+        self.process.send_signal(signal.SIGTERM)
+        self.process.send_signal(signal.SIGTERM)
+        self.log("told to leave")
+        while self.report() != "PULSE n3 closed":
+            pass
+        self.assertEqual(dispatcher.next(), [b"0", b"last"])
+        within = late.call()  # read in the grace: it runs
+        self.assertEqual(self.engine.next()[:2], ("RUN", within))
+        while True:  # the grace of 0.3 s ends: the listening socket closes
+            try:
+                socket.create_connection(("127.0.0.1", self.port), timeout=WAIT).close()
+            except ConnectionRefusedError:
+                break
+        late.call(tag=2)
+        self.assertEqual(late.answer()[:2], (2, b"full"))
+        self.engine.done(within)
+        self.engine.done(ident)
+        self.assertEqual(late.answer()[:2], (1, b"ok"))
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+        dispatcher.close()
+        late.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_what_still_runs_is_answered_before_the_stop(self):
+        self.begin(stop_ms=700)
+        dispatcher = self.dispatcher()
+        dispatcher.call()
+        self.engine.next()
+        start = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"full"))
+        self.assertLess(time.monotonic() - start, 0.7)
+
+    def test_a_node_told_to_leave_before_its_engine_is_up_ends_at_once(self):
+        self.begin(attach=False)
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_killed_node_starts_again_under_its_address(self):
+        self.begin()
+        self.engine.done(self.dispatcher().call() and self.engine.next()[1])
+        self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+        self.begin(listen=f"127.0.0.1:{self.port}", state="booting", age="1.0")
+        dispatcher = self.dispatcher()
+        self.engine.number = 0
+        self.engine.done(dispatcher.call() and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[1], b"ok")
+
+    def test_a_bad_start_is_one_plain_line_and_no_traceback(self):
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        for told in (
+            None,
+            "not json",
+            "[]",
+            self.told(engine="nowhere"),
+            self.told(seed="green"),
+            self.told(limits={"sockets": "many", "memory_mb": 1}),
+            self.told(settings={**TOLD, "classes": []}),
+            self.told(settings={**TOLD, "obligations": {}}),
+            self.told(listen=f"127.0.0.1:{taken.getsockname()[1]}"),
+        ):
+            ended = self.launch(told)
+            _, said = ended.communicate(timeout=WAIT)
+            self.assertEqual((ended.returncode, said.count("\n")), (2, 1), said)
+            self.assertTrue(said.startswith("oakkeel"), said)
+
+    def test_an_unreadable_configuration_is_named(self):
+        import sys
+        ended = subprocess.run([sys.executable, "-m", "oakkeel"], env={"PROXY_CONFIG": "/nowhere/at/all"},
+                               capture_output=True, text=True, timeout=WAIT)
+        self.assertEqual((ended.returncode, ended.stderr.count("\n")), (2, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
