--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -33,6 +33,8 @@
     commands: int = 8192  # unconfirmed, before those that need not be sent again are looked for
     backlog: int = 8 * 1024 * 1024  # bytes that a link may leave unread
 
+    timer_retry: int = SECOND  # after an error of ours in a timer of the decisions
+
     # The catalogue.
     call_links: int = 4
     call_idle: int = 8 * SECOND  # the catalogue closes after 10 s: we do it first
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -106,8 +106,9 @@
             else:
                 self.measures.gauges_missed += 1
             self.tell(self.keel.timer, token, self.gauges)
-        except Exception as error:  # the node lives on
+        except Exception as error:  # the node lives on, and so must its poll
             self.log.say(f"a timer: {type(error).__name__}: {error}")
+            self.set_timer(token, time.monotonic_ns() + self.start.bounds.timer_retry)
 
     # The node as a whole.
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -302,6 +302,9 @@
         given = {"PROXY_CONFIG": file.name} if told is not None else {}
         self.process = subprocess.Popen([sys.executable, "-m", "oakkeel"], env={**os.environ, **given},
                                         stderr=subprocess.PIPE, text=True)
+        watch = threading.Timer(4 * WAIT, self.process.kill)  # a story that hangs ends, and fails
+        watch.start()
+        self.addCleanup(watch.cancel)
         return self.process
 
     def begin(self, attach: bool = True, state: str = "steady", age: str = "60000.5", **changes) -> None:
