--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from collections.abc import Callable
@@ -45,7 +46,8 @@
         self.socket.close()
 
     def _accept(self, accepted: socket.socket, _: object) -> None:
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # reset by now: its stream finds out
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(accepted, max_buffer_size=self.bounds.buffer_size,
                           read_chunk_size=self.bounds.buffer_size)
         connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._idle_changed)
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -67,7 +67,7 @@
         self.barrier = b""  # the tag of the gauges that end the taking up of a link
         self.stream: IOStream | None = None
         self.open = False  # attached, and all that was missed is read
-        self.losses = self.slow_gauges = 0
+        self.losses = 0
 
     async def serve(self) -> None:
         """Attach and read, again and again."""
@@ -87,6 +87,8 @@
                 pass
             except Malformed as error:
                 self.log.say(f"the engine's link can't be read: {error}")
+            except Exception as error:  # a node without its engine's notices would answer nothing more
+                self.log.say(f"the engine's link: {type(error).__name__}: {error}")
             finally:
                 stream.close()
                 intake.close()
@@ -170,9 +172,9 @@
             ex.tell(News.DONE, outcome, result, spent)
 
     def _not_carried_out(self, verb: bytes, ident: bytes) -> None:
-        """A run that never began ends here; the engine needs none of the other commands."""
+        """A run that the engine does not know is over; of the other commands nothing hangs on."""
         self.log.say(f"the engine did not carry out {verb.decode(errors='replace')}")
-        if verb == b"RUN":
+        if verb in (b"RUN", b"HALT"):
             self._done(ident, Outcome.ERROR, 0, b"")
 
     def _hello(self, state: bytes, age: int) -> None:
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -103,7 +103,10 @@
         self.log.say("told to leave")
         self.reports.set_taking(False)
         if self.host.keel is not None:
-            self.host.tell(self.host.keel.leave, self.bounds.stop_after)
+            try:
+                self.host.tell(self.host.keel.leave, self.bounds.stop_after)
+            except Exception as error:  # the drain goes on
+                self.log.say(f"leaving: {type(error).__name__}: {error}")
             self.listener.last()
             await asyncio.sleep(self.start.limits.drain_grace / SECOND)
         self.listener.close()
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -327,6 +327,27 @@
         self.addCleanup(made.close)
         return made
 
+    def running(self, *group: str, **more) -> tuple[Dispatcher, str]:
+        """A node that has just started to run an exchange, with its dispatcher and its id."""
+        self.begin()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call(*group, **more)
+        self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+        return dispatcher, ident
+
+    def calling(self, *group: str) -> tuple[Dispatcher, str, CatalogueLink]:
+        """The same with its call at the catalogue."""
+        dispatcher, ident = self.running(*group)
+        self.engine.need(ident)
+        link = self.catalogue_link()
+        self.assertEqual(link.next()[:2], ("FETCH", ident))
+        return dispatcher, ident, link
+
+    def catalogue_link(self) -> CatalogueLink:
+        link = CatalogueLink(self.catalogue)
+        self.addCleanup(link.close)
+        return link
+
     def report(self) -> str:
         return self.directory.recv(100).decode()
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,6 +8,7 @@
 from oakkeel.bounds import MS, SECOND, Bounds
 from oakkeel.catalogue.links import Catalogue
 from oakkeel.dispatch.resp import arrays, encode
+from oakkeel.engine.link import EngineLink
 from oakkeel.exchange import LiveExchange, News
 from oakkeel.interface import Outcome, State
 from oakkeel.limits import Pairs, flatten, read_limits
@@ -167,6 +168,30 @@
         self.assertEqual(await reader.readline(), b"second\r\n")
 
 
+class EngineStories(unittest.IsolatedAsyncioTestCase):
+    async def test_an_error_of_ours_at_a_notice_makes_the_link_anew(self):
+        # Without its engine's notices a node would answer nothing more.
+        attached = asyncio.Queue()
+
+        async def accepted(reader, writer):
+            writer.write(b"HELLO steady 1\r\n")
+            attached.put_nowait(await reader.readline())
+            await reader.read()
+            writer.close()
+
+        def started(cold, age):
+            raise RuntimeError("a defect")
+
+        server = await asyncio.start_server(accepted, "127.0.0.1", 0)
+        link = EngineLink(server.sockets[0].getsockname(), BufferPool(8192, 9), BOUNDS, LOG, started)
+        serving = asyncio.ensure_future(link.serve())
+        for _ in range(2):
+            self.assertEqual(await asyncio.wait_for(attached.get(), WAIT), b"ATTACH 0\r\n")
+        serving.cancel()
+        await asyncio.wait((serving,))
+        server.close()
+
+
 class KeptStories(unittest.TestCase):
     def test_a_read_is_shared_while_fresh_and_not_after(self):
         kept, first = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 import unittest
 
 from oakkeel.dispatch.resp import encode
-from tests.fake import TOLD, WAIT, CatalogueLink, NodeStory
+from tests.fake import TOLD, WAIT, NodeStory
 
 ANY_BYTES = bytes(range(256)) * 4 + b"\r\n*3\r\n$1\r\n"
 
@@ -35,12 +35,9 @@
         self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
 
     def test_a_run_that_needs_a_call_is_fed_its_reply(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("card")
-        self.engine.next()
+        dispatcher, ident = self.running("card")
         self.engine.need(ident, ANY_BYTES)
-        link = CatalogueLink(self.catalogue)
+        link = self.catalogue_link()
         verb, told, wait, _, body = link.next()
         self.assertEqual((verb, told, body), ("FETCH", ident, ANY_BYTES))
         self.assertTrue(0 < int(wait) <= 8000)
@@ -48,29 +45,15 @@
         self.assertEqual(self.engine.next(), ("FEED", ident, str(len(ANY_BYTES)), ANY_BYTES))
         self.engine.done(ident)
         self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
-        link.close()
 
     def test_a_call_that_fails_is_left_out_where_that_earns(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("quote")
-        self.engine.next()
-        self.engine.need(ident)
-        link = CatalogueLink(self.catalogue)
-        link.next()
+        dispatcher, ident, link = self.calling("quote")
         link.say(f"{ident} FAULT")
         self.assertEqual(self.engine.next()[:3], ("SKIP", ident, "1"))
-        link.close()
 
     def test_a_refused_call_never_ran_and_a_broken_one_proves_nothing(self):
         # A mutating exchange shows the difference: the first is placed again, the second is terminated.
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("pay")
-        self.engine.next()
-        self.engine.need(ident)
-        link = CatalogueLink(self.catalogue)
-        self.assertEqual(link.next()[:2], ("FETCH", ident))
+        dispatcher, ident, link = self.calling("pay")
         link.say(f"{ident} LATER")
         self.assertEqual(link.next()[:2], ("FETCH", ident))
         link.close()
@@ -87,18 +70,10 @@
         self.assertEqual(self.engine.next()[:2], ("SKIP", ident))
 
     def test_an_unreadable_catalogue_is_connected_to_anew(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("card")
-        self.engine.next()
-        self.engine.need(ident)
-        link = CatalogueLink(self.catalogue)
-        link.next()
+        dispatcher, ident, link = self.calling("card")
         link.say("what is this")
-        again = CatalogueLink(self.catalogue)
+        again = self.catalogue_link()
         self.assertEqual(again.next()[:2], ("FETCH", ident))
-        link.close()
-        again.close()
 
     def test_a_flood_is_denied_with_when_to_return(self):
         self.begin()
@@ -118,10 +93,7 @@
         self.assertTrue(self.engine.commands.empty())
 
     def test_what_can_no_longer_be_in_time_is_answered_and_its_run_stopped(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("pay", timeout=1500)
-        self.engine.next()
+        dispatcher, ident = self.running("pay", timeout=1500)
         self.assertEqual(dispatcher.answer()[:2], (1, b"fault"))
         self.assertEqual(self.engine.next()[:2], ("HALT", ident))
         self.engine.done(ident, "interrupted", b"")
@@ -129,10 +101,7 @@
         self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
 
     def test_a_cancelled_exchange_is_stopped_and_its_result_dropped(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call()
-        self.engine.next()
+        dispatcher, ident = self.running()
         dispatcher.send("CANCEL", "1")
         dispatcher.send("CANCEL", "1")
         dispatcher.send("CANCEL", "77")
@@ -143,18 +112,11 @@
         self.assertEqual(dispatcher.answer()[:2], (5, b"ok"))
 
     def test_a_call_whose_exchange_is_cancelled_is_quit(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("card")
-        self.engine.next()
-        self.engine.need(ident)
-        link = CatalogueLink(self.catalogue)
-        link.next()
+        dispatcher, ident, link = self.calling("card")
         start = time.monotonic()
         dispatcher.send("CANCEL", "1")
         self.assertEqual(link.next()[:2], ("QUIT", ident))
         self.assertLess(time.monotonic() - start, 4)  # not only when its time is up
-        link.close()
 
     def test_runs_that_were_never_started_leave_the_cores_free(self):
         # A cancel that crossed the command to run: the engine answers `nothing`, which the decisions
@@ -167,19 +129,23 @@
             self.engine.done(ident, "nothing", b"")
             self.assertEqual(dispatcher.answer()[1], b"fault")
 
-    def test_a_command_to_run_that_was_not_carried_out_terminates_its_exchange(self):
+    def test_stopped_runs_that_the_engine_does_not_know_leave_the_cores_free(self):
         self.begin()
         dispatcher = self.dispatcher()
-        ident = dispatcher.call()
-        self.engine.next()
+        for tag in range(1, 13):
+            ident = dispatcher.call(tag=tag)
+            self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+            dispatcher.send("CANCEL", str(tag))
+            self.assertEqual(self.engine.next()[:2], ("HALT", ident))
+            self.engine.say(f"NO HALT {ident}")
+
+    def test_a_command_to_run_that_was_not_carried_out_terminates_its_exchange(self):
+        dispatcher, ident = self.running()
         self.engine.say(f"NO RUN {ident}")
         self.assertEqual(dispatcher.answer()[1], b"fault")
 
     def test_repeats_of_a_kept_exchange_take_its_one_result(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("order", fields=",opkey=k1")
-        self.engine.next()
+        dispatcher, ident = self.running("order", fields=",opkey=k1")
         dispatcher.call("order", fields=",opkey=k1,resent=1")
         self.engine.done(ident, body=b"once")
         self.assertEqual([dispatcher.answer()[1::2] for _ in range(2)], [(b"ok", b"once")] * 2)
@@ -258,10 +224,7 @@
             self.assertLess(int(file.read().split()[1]) * 4096, 36 * 2**20)
 
     def test_an_idle_connection_is_told_that_no_more_shall_come_before_it_ends(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call()
-        self.engine.next()
+        dispatcher, ident = self.running()
         self.engine.done(ident)
         self.assertEqual(dispatcher.next()[:2], [b"1", b"ok"])
         self.assertEqual(dispatcher.next(), [b"0", b"last"])
@@ -278,7 +241,7 @@
         ended, running = dispatcher.call(), dispatcher.call()
         self.assertEqual({self.engine.next()[1], self.engine.next()[1]}, {ended, running})
         self.engine.need(running)
-        link = CatalogueLink(self.catalogue)
+        link = self.catalogue_link()
         self.assertEqual(link.next()[:2], ("FETCH", running))
         self.engine.lose()
         self.assertEqual(self.engine.attach(answer=False), 1)
@@ -301,7 +264,6 @@
         self.assertEqual(line[:2], [b"FEED", running.encode()])
         self.engine.done(running)
         self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
-        link.close()
 
     def test_a_command_that_the_engine_never_read_is_sent_again(self):
         self.begin()
@@ -320,10 +282,7 @@
         self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
 
     def test_a_line_of_the_engine_that_cant_be_read_makes_the_link_anew(self):
-        self.begin()
-        dispatcher = self.dispatcher()
-        ident = dispatcher.call("pay")
-        self.engine.next()
+        dispatcher, ident = self.running("pay")
         self.engine.say("DONE what is this")
         self.engine.attach()
         self.engine.done(ident)
