Answer an unknown verb as terminated; outlive a log that nobody takes

An array with a good tag now never ends its connection. A closed standard error raised out of whatever was being logged: the connection in hand was lost (log.py). Both have a story, seen to fail without the change. Arguments get a usage line.

--- a/oakkeel/__main__.py
+++ b/oakkeel/__main__.py
@@ -7,10 +7,13 @@
 import sys
 
 from oakkeel.limits import LimitsError
-from oakkeel.node.start import read_start
+from oakkeel.node.start import Start, read_start
 
 
 def main() -> int:
+    if sys.argv[1:]:
+        print("usage: PROXY_CONFIG=FILE python -m oakkeel", file=sys.stderr)
+        return 2
     try:
         start = read_start(os.environ)
         asyncio.run(_run(start))
@@ -20,7 +23,7 @@
     return 0
 
 
-async def _run(start) -> None:
+async def _run(start: Start) -> None:
     from oakkeel.node.assembly import Node  # a bad start fails before anything else is loaded
 
     await Node(start).run()
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -73,7 +73,7 @@
             self.write(codec.answer(number, codec.GOOD if self.front.healthy() else codec.BAD,
                                     self.front.signal()))
         else:
-            raise Malformed(f"an unknown verb {verb[:20]!r}")
+            self._unreadable(number, f"an unknown verb {verb[:20]!r}")
 
     def _call(self, tag: int, words: list[bytes]) -> None:
         reader = self.front.reader
@@ -82,12 +82,15 @@
         try:
             ex = reader.read(tag, words, self)
         except codec.Unreadable as error:
-            self.log.say(f"an exchange can't be read: {error}")
-            return self.write(codec.answer(tag, codec.TERMINATED, self.front.signal()))
+            return self._unreadable(tag, str(error))
         self.open[tag] = ex
         self.idle_changed(self)
         self.front.arrived(ex)
 
+    def _unreadable(self, tag: int, why: str) -> None:
+        self.log.say(f"an exchange can't be read: {why}")
+        self.write(codec.answer(tag, codec.TERMINATED, self.front.signal()))
+
     def _drop(self, ex: LiveExchange) -> None:
         """Its caller no longer waits."""
         self._close_exchange(ex)
--- a/oakkeel/log.py
+++ b/oakkeel/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import sys
 import time
@@ -17,13 +18,17 @@
         second = time.monotonic_ns() // 1_000_000_000
         if second != self.second:
             if self.dropped:
-                print(f"oakkeel {self.name}: {self.dropped} more lines left out", file=sys.stderr)
+                self._print(f"{self.dropped} more lines left out")
             self.second, self.lines, self.dropped = second, 0, 0
         self.lines += 1
         if self.lines > self.most:
             self.dropped += 1
             return
-        print(f"oakkeel {self.name}: {text}", file=sys.stderr, flush=True)
+        self._print(text)
+
+    def _print(self, text: str) -> None:
+        with contextlib.suppress(OSError):  # a log that nobody takes any more must not end the node
+            print(f"oakkeel {self.name}: {text}", file=sys.stderr, flush=True)
 
     def take_others(self, loop: asyncio.AbstractEventLoop) -> None:
         """What the loop and Tornado would write for themselves comes here too, under the same bound."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -185,10 +185,11 @@
         dispatcher.call("unheard-of")
         dispatcher.call(fields=",need=much")
         dispatcher.send("CALL", "3", "quote", "ts=1", b"")
-        self.assertEqual([dispatcher.answer()[:2] for _ in range(3)],
-                         [(1, b"fault"), (2, b"fault"), (3, b"fault")])
-        self.engine.done(dispatcher.call(tag=4) and self.engine.next()[1])
-        self.assertEqual(dispatcher.answer()[:2], (4, b"ok"))
+        dispatcher.send("WHAT", "4")
+        self.assertEqual([dispatcher.answer()[:2] for _ in range(4)],
+                         [(1, b"fault"), (2, b"fault"), (3, b"fault"), (4, b"fault")])
+        self.engine.done(dispatcher.call(tag=5) and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (5, b"ok"))
 
     def test_bytes_that_are_no_array_end_a_connection_once_all_on_it_is_answered(self):
         self.begin()
@@ -290,6 +291,16 @@
 
 
 class EndStories(NodeStory):
+    def test_a_node_whose_log_nobody_takes_lives(self):
+        self.begin()
+        self.process.stderr.close()
+        dispatcher = self.dispatcher()
+        for tag in range(1, 4):
+            dispatcher.call("unheard-of", tag=tag)
+            self.assertEqual(dispatcher.answer()[:2], (tag, b"fault"))
+        self.engine.done(dispatcher.call() and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (4, b"ok"))
+
     def test_a_drain_answers_all_runs_nothing_after_the_grace_and_ends(self):
         self.begin(settings=self.settings(readiness=False))
         dispatcher, late = self.dispatcher(), self.dispatcher()
