Place no call on a link that has just broken

Between the end of a connection and its reader's turn a call could still be placed on it, and was told as reset though it never left (catalogue/links.py, _trim): what must not run twice was then terminated without need.

--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -59,7 +59,7 @@
     def __init__(self, address: tuple[str, int], pool: BufferPool, bounds: Bounds, log: Log) -> None:
         self.address, self.bounds, self.log = address, bounds, log
         self.calls: dict[bytes, Call] = {}
-        self.connected = self.over = False
+        self.connected = False
         self.used = time.monotonic_ns()
         self.stream = IOStream(socket.socket(), max_write_buffer_size=bounds.backlog)
         self.intake = Intake(pool)
@@ -86,7 +86,6 @@
         except Malformed as error:
             self.log.say(f"the catalogue's link can't be read: {error}")
         finally:
-            self.over = True
             self.stream.close()
             self.intake.close()
             # One that was never connected carried nothing; one that broke proves nothing.
@@ -105,6 +104,8 @@
 
 
 class Catalogue:
+    """The few links, opened as calls need them."""
+
     def __init__(self, address: tuple[str, int] | None, pool: BufferPool, bounds: Bounds, log: Log) -> None:
         self.address, self.pool, self.bounds, self.log = address, pool, bounds, log
         self.links: list[CallLink] = []
@@ -138,9 +139,8 @@
         """Drop what has ended, and close what is idle before the catalogue does: no call meets its close."""
         now = time.monotonic_ns()
         for link in list(self.links):
-            if not link.over and not link.calls and now - link.used > self.bounds.call_idle:
-                link.over = True
+            if not link.calls and now - link.used > self.bounds.call_idle:
                 link.stream.close()
-            if link.over:
+            if link.stream.closed():
                 self.links.remove(link)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -152,11 +152,23 @@
         writer.write(b"%s FAULT\r\n" % ex.ident)
         await ex.hear()
         first = self.catalogue.links[0]
-        first.used -= 9 * SECOND
+        first.used -= BOUNDS.call_idle + SECOND
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
         self.assertTrue(first.stream.closed())
         self.assertIsNot(self.catalogue.links[0], first)
 
+    async def test_a_link_that_has_just_broken_takes_no_call(self):
+        # Its reader had not run yet: the call was placed on it and told as reset, though it never left.
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        _, writer = await asyncio.wait_for(self.peers.get(), WAIT)
+        writer.write(b"%s FAULT\r\n" % ex.ident)
+        await ex.hear()
+        self.catalogue.links[0].stream.close()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"again")
+        reader, _ = await asyncio.wait_for(self.peers.get(), WAIT)
+        self.assertTrue((await reader.readline()).startswith(b"FETCH"))
+
     async def test_a_call_that_waits_for_its_connection_when_its_time_is_up_never_ran(self):
         ex = exchange()
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"first")
