Let a repeat of what went unrun run

A deduplicated exchange cancelled in the hold, or never started by the engine, stayed kept as ended in error, so that its repeats were terminated for a whole window though nothing had run. At fault: the end of Lives.live, which could not tell the two; LiveExchange.ran now does.

--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -101,7 +101,7 @@
     # Commands.
 
     def run(self, ex: LiveExchange) -> None:
-        ex.in_engine = True
+        ex.in_engine = ex.ran = True
         self.runs[ex.ident] = ex
         self._command(ex, b"RUN", b"%s %d" % (ex.group_name, len(ex.body)), ex.body)
 
@@ -169,6 +169,7 @@
     def _done(self, ident: bytes, outcome: Outcome, spent: int, result: bytes) -> None:
         if ex := self.runs.pop(ident, None):
             ex.in_engine = False
+            ex.ran = outcome is not Outcome.MOOT
             ex.tell(News.DONE, outcome, result, spent)
 
     def _not_carried_out(self, verb: bytes, ident: bytes) -> None:
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -42,6 +42,7 @@
     connection: Any  # what it came on and is answered on
 
     answered: bool = False  # or no answer is owed any more
+    ran: bool = False  # a command to run it was given, and nothing proves that it had no effect
     in_engine: bool = False  # from the command to run until the notice that the run is over
     heard: int = 0  # the number of the last notice for it
     call: Any = None  # the call in flight
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/life.py
@@ -67,7 +67,10 @@
             await self._wind_up(ex)
         finally:
             self.catalogue.quit(ex)
-            self.kept.ended(ex, Outcome.ERROR, b"")
+            if ex.ran:
+                self.kept.ended(ex, Outcome.ERROR, b"")
+            else:
+                self.kept.forget(ex)  # a repeat of what went unrun may run
 
     async def _next(self, ex: LiveExchange) -> tuple:
         """The next news, after an early answer is given, a stop passed on or the caller's end told."""
@@ -93,7 +96,8 @@
         # this one as running: told that it never was there, they would count it for ever.
         told = Outcome.STOPPED if outcome is Outcome.MOOT else outcome
         self.host.tell(self.host.keel.run_done, ex, told, spent)
-        self.kept.ended(ex, told, result)
+        if ex.ran:
+            self.kept.ended(ex, told, result)
         self._answer_run(ex, outcome, result)
 
     def _answer_run(self, ex: LiveExchange, outcome: Outcome, result: bytes) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -154,6 +154,21 @@
         other = dispatcher.call("order", fields=",opkey=k2")
         self.assertEqual(self.engine.next()[:2], ("RUN", other))
 
+    def test_a_repeat_of_what_went_unrun_runs(self):
+        # Cancelled in the hold, or never started: its repeats were answered as terminated for a whole window.
+        self.begin()
+        dispatcher = self.dispatcher()
+        running = [dispatcher.call() and self.engine.next()[1] for _ in range(4)]
+        dispatcher.call("order", fields=",opkey=k1")
+        dispatcher.send("CANCEL", "5")
+        again = dispatcher.call("order", fields=",opkey=k1,resent=1")
+        self.engine.done(running[0])
+        self.assertEqual(self.engine.next()[:2], ("RUN", again))
+        self.engine.done(again, "nothing", b"")
+        self.assertEqual([dispatcher.answer()[0] for _ in range(2)], [1, 6])
+        third = dispatcher.call("order", fields=",opkey=k1,resent=1")
+        self.assertEqual(self.engine.next()[:2], ("RUN", third))
+
 
 class DispatcherStories(NodeStory):
     def test_a_health_check_tells_the_advice(self):
