--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 	.venv/bin/python -m unittest discover -s tests -t . -v
 
 lint: build
-	.venv/bin/pip -q install ruff==0.17.6
+	.venv/bin/pip -q install ruff==0.17.6 mypy==2.4.1
 	.venv/bin/ruff check oakkeel tests
+	.venv/bin/mypy oakkeel
 
 # One node; PROXY_CONFIG names its configuration (see README.md).
 run: build
--- a/oakkeel/log.py
+++ b/oakkeel/log.py
@@ -33,7 +33,13 @@
     def take_others(self, loop: asyncio.AbstractEventLoop) -> None:
         """What the loop and Tornado would write for themselves comes here too, under the same bound."""
         loop.set_exception_handler(lambda _, told: self.say(f"{told['message']}: {told.get('exception')!r}"))
-        handler = logging.Handler(logging.ERROR)  # a refused or reset connection is told by its link
-        handler.emit = lambda record: self.say(record.getMessage())
-        root = logging.getLogger()
-        root.handlers[:] = [handler]
+        logging.getLogger().handlers[:] = [OthersHandler(self)]
+
+
+class OthersHandler(logging.Handler):
+    def __init__(self, log: Log) -> None:
+        super().__init__(logging.ERROR)  # a refused or reset connection is told by its link
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.log.say(record.getMessage())
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -86,7 +86,7 @@
             ex.tell(News.GONE)
 
     def healthy(self) -> bool:
-        return self.host.good and self.host.keel is not None and not self.draining
+        return self.host.good and self.host.begun and not self.draining
 
     def signal(self) -> float | None:
         return self.host.signal
@@ -102,7 +102,7 @@
         """End once all that was read is answered and every dispatcher has closed its connections."""
         self.log.say("told to leave")
         self.reports.set_taking(False)
-        if self.host.keel is not None:
+        if self.host.begun:
             try:
                 self.host.tell(self.host.keel.leave, self.bounds.stop_after)
             except Exception as error:  # the drain goes on
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -32,13 +32,17 @@
         self.signal: float | None = None
         self.settling = False
         self.timers: set[asyncio.Task] = set()
-        self.keel: Keel | None = None
+        self.keel: Keel  # from `begin` on
+        self.begun = False
 
     def begin(self, cold: bool, age: int) -> None:
         """The engine is up: where it has just booted, the node is cold since then."""
         limits = self.start.limits
         limits.cold = limits.cold or cold
-        self.keel = Keel(self, limits, self.start.seed, time.monotonic_ns() - (age if cold else 0))
+        self.begun = True
+        started = time.monotonic_ns() - (age if cold else 0)
+        # Each exchange that it names is one that we gave it, a LiveExchange.
+        self.keel = Keel(self, limits, self.start.seed, started)  # type: ignore[arg-type]
 
     def tell(self, act: Callable[..., None], *words: object) -> None:
         """Tell the decisions what happened; they settle once for what one pass of the loop brought."""
--- a/oakkeel/node/kept.py
+++ b/oakkeel/node/kept.py
@@ -66,11 +66,13 @@
         return len(self.kept) >= self.most
 
     def remember(self, ex: LiveExchange, now: int, duration: int) -> None:
+        if ex.key is None:
+            return  # nothing that its repeats could be known by
         self.full(now)  # makes room
         ex.kept_as = self.kept[ex.key] = Kept(ex.key, now + duration, ex.group.once)
 
     def forget(self, ex: LiveExchange) -> None:
-        kept = ex.kept_as
+        kept: Kept | None = ex.kept_as
         if kept is not None:
             if self.kept.get(kept.key) is kept:
                 del self.kept[kept.key]
--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -47,7 +47,8 @@
             self.start, self.end = 0, self.end - self.start
         if self.end == len(self.buffer):
             raise Malformed(f"longer than {self.end} bytes")
-        self.end += await stream.read_into(memoryview(self.buffer)[self.end :], partial=True)
+        room = memoryview(self.buffer)[self.end :]
+        self.end += await stream.read_into(room, partial=True)  # type: ignore[arg-type]  # any buffer will do
 
     def add(self, data: bytes) -> None:
         """The same for bytes at hand."""
