--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -143,4 +143,3 @@
                 link.stream.close()
             if link.stream.closed():
                 self.links.remove(link)
-
--- a/oakkeel/dispatch/codec.py
+++ b/oakkeel/dispatch/codec.py
@@ -36,8 +36,10 @@
         self.unix_ns = unix_ns
 
     def read(self, tag: int, words: list[bytes], connection: Any) -> LiveExchange:
-        if len(words) not in (4, 5) or words[2] not in self.groups:
-            raise Unreadable("an unknown endpoint group" if len(words) in (4, 5) else "too few or many words")
+        if len(words) not in (4, 5):
+            raise Unreadable("too few or many words")
+        if words[2] not in self.groups:
+            raise Unreadable("an unknown endpoint group")
         group = self.groups[words[2]]
         fields = dict(item.partition(b"=")[::2] for item in words[3].split(b",") if item)
         ident = fields.get(b"req", b"")
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -152,4 +152,3 @@
             asyncio.get_running_loop().call_later(self.bounds.last_wait / SECOND, self._close_left)
         else:
             self.stream.close()
-
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -40,10 +40,13 @@
 
     def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran."""
+        self._pause()
+        self.socket.close()
+
+    def _pause(self) -> None:
         if self.refuse:
             self.refuse()
             self.refuse = None
-        self.socket.close()
 
     def _accept(self, accepted: socket.socket, _: object) -> None:
         with contextlib.suppress(OSError):  # reset by now: its stream finds out
@@ -57,8 +60,7 @@
         task.add_done_callback(self.tasks.discard)
         if len(self.connections) >= self.bounds.connections and self.refuse:
             self.log.say("no descriptors left: no new connections until one ends")
-            self.refuse()
-            self.refuse = None
+            self._pause()
             self._trim(longest=True)
 
     async def _serve(self, connection: Connection) -> None:
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -205,4 +205,3 @@
         self.open = True
         for command in self.unconfirmed:
             self._write(command)
-
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -25,7 +25,7 @@
     # What the others tell.
     GONE = auto()  # the caller gave up
     NEED = auto()  # the number of the notice, the body of the call
-    REPLY = auto()  # the call, its outcome, its body
+    REPLY = auto()  # the outcome of the call, the reply, how long it took
     DONE = auto()  # the outcome, the result, how long it took
     SHARED = auto()  # the outcome and the result of the one that it repeats
 
--- a/oakkeel/limits.py
+++ b/oakkeel/limits.py
@@ -99,7 +99,6 @@
         except ValueError:
             fail(f"settings hold no number: {path}={value}")
 
-
     def gauges(self) -> list[str | None]:
         """The fields of `Gauges` in the order in which their values come; None for one we don't read."""
         return [GAUGES.get(name) for name in self.get("extra.gauges", "").split(",")]
--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -50,11 +50,6 @@
         room = memoryview(self.buffer)[self.end :]
         self.end += await stream.read_into(room, partial=True)  # type: ignore[arg-type]  # any buffer will do
 
-    def add(self, data: bytes) -> None:
-        """The same for bytes at hand."""
-        self.buffer[self.end : self.end + len(data)] = data
-        self.end += len(data)
-
     def close(self) -> None:
         self.pool.give_back(self.buffer)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -39,7 +39,9 @@
     """What a parser makes of bytes that come in pieces of one size."""
     intake, found = Intake(BufferPool(512, 1)), []
     for at in range(0, len(data), step):
-        intake.add(data[at : at + step])
+        piece = data[at : at + step]
+        intake.buffer[intake.end : intake.end + len(piece)] = piece
+        intake.end += len(piece)
         found += parse(intake)
     return found
 
@@ -118,6 +120,15 @@
             with contextlib.suppress(OSError):
                 await writer.wait_closed()
 
+    async def _replied(self):
+        """An exchange whose call came back, and the link that it was on."""
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        _, writer = await asyncio.wait_for(self.peers.get(), WAIT)
+        writer.write(b"%s FAULT\r\n" % ex.ident)
+        await ex.hear()
+        return ex, self.catalogue.links[0]
+
     async def test_a_late_reply_is_not_taken_for_that_of_the_next_call(self):
         # Replies name only the exchange: one that crosses the QUIT of its call looked like its successor's.
         ex = exchange()
@@ -146,12 +157,7 @@
         self.assertEqual(len(self.catalogue.links), 1)
 
     async def test_an_idle_link_is_not_used_again_just_before_it_is_closed(self):
-        ex = exchange()
-        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
-        _, writer = await asyncio.wait_for(self.peers.get(), WAIT)
-        writer.write(b"%s FAULT\r\n" % ex.ident)
-        await ex.hear()
-        first = self.catalogue.links[0]
+        ex, first = await self._replied()
         first.used -= BOUNDS.call_idle + SECOND
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
         self.assertTrue(first.stream.closed())
@@ -159,12 +165,8 @@
 
     async def test_a_link_that_has_just_broken_takes_no_call(self):
         # Its reader had not run yet: the call was placed on it and told as reset, though it never left.
-        ex = exchange()
-        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
-        _, writer = await asyncio.wait_for(self.peers.get(), WAIT)
-        writer.write(b"%s FAULT\r\n" % ex.ident)
-        await ex.hear()
-        self.catalogue.links[0].stream.close()
+        ex, first = await self._replied()
+        first.stream.close()
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"again")
         reader, _ = await asyncio.wait_for(self.peers.get(), WAIT)
         self.assertTrue((await reader.readline()).startswith(b"FETCH"))
