--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -22,13 +22,26 @@
     words: int = 16  # in one array; of a line, what follows is one word
 
     # Dispatchers.
-    spare_sockets: int = 32  # descriptors kept back for the links, the log and the loop
+    spare_sockets: int = 32  # descriptors kept back for all but calls and dispatchers
     open_exchanges: int = 32  # on one connection
+    body: int = 2048
+    need: float = 2000.0  # KB that an exchange may ask for
+    stamp: int = 60 * SECOND  # that a stamp may lie from our clock
+    patience: int = 3600 * SECOND  # that a caller may wait
+    faults: int = 8  # exchanges on one connection that can't be read or that the engine does not know
     unread_share: float = 0.2  # of the memory, for answers that dispatchers leave unread
+    read_pause: int = 5 * MS  # from one read of a connection to its next: its share of the loop
+    sweep: int = 250 * MS  # between looks at what connections leave undone
+    silent: int = 2 * SECOND  # from the accept to the first whole array, and from an array's start to its end
+    broken: int = 2 * SECOND  # for what is open on a connection that can't be read any further
+    untaken: int = 10 * SECOND  # that a write to a dispatcher may take
     last_wait: int = SECOND  # from `0 last` until we close a connection with nothing open ourselves
 
     # The engine.
-    engine_retry: int = 50 * MS
+    engine_retry: int = 50 * MS  # from one try to connect to the next
+    engine_loss: int = 150 * MS  # a break may take commands with it that are younger
+    engine_silent: int = 2 * SECOND  # without gauges that were asked for, until the link is made anew
+    engine_swap: int = 200 * MS  # for an old link to tell that it has read all
     gauges_wait: int = 10 * MS  # for fresh gauges before a timer of the decisions is told
     commands: int = 8192  # unconfirmed, before those that need not be sent again are looked for
     backlog: int = 8 * 1024 * 1024  # bytes that a link may leave unread
@@ -36,12 +49,16 @@
     timer_retry: int = SECOND  # after an error of ours in a timer of the decisions
 
     # The catalogue.
-    call_links: int = 4
-    call_idle: int = 8 * SECOND  # the catalogue closes after 10 s: we do it first
+    call_links: int = 64  # one call each, as far as they go
+    call_idle: int = 500 * MS  # a link may be closed early or forgotten: one idle for longer takes no call
+    call_partial: int = 200 * MS  # from a reply's first byte to its last
+    call_surplus: int = 4  # replies that nobody waits for, while others are
     call_slack: int = 15 * MS  # beyond the time of a call, before we give it up ourselves
 
     # The directory.
-    pulse: int = 500 * MS
+    pulse: int = 250 * MS  # one in four may be lost, and an entry lapses after 3 s
+    pulse_again: int = 60 * MS  # after a change, which is told
+    pulse_times: int = 3  # so often at this pace
 
     # What is kept for repeats.
     kept_size: int = 16 * 1024  # a kept key and its result, at the most
@@ -54,7 +71,7 @@
     @property
     def connections(self) -> int:
         """Of dispatchers, at one time."""
-        return max(1, self.sockets - self.spare_sockets)
+        return max(1, self.sockets - self.spare_sockets - self.call_links)
 
     @property
     def unread(self) -> int:
--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -42,11 +42,12 @@
         self.ex.call = None
         if outcome is not None:
             self.ex.tell(News.REPLY, outcome, reply, self.link.used - self.placed)
+        self.link.leave()
 
     def give_up(self, outcome: Outcome | None = Outcome.GIVEN_UP) -> None:
-        """A reply may still cross this: the next call of the exchange must take another link."""
+        """A link on which a call went unanswered may be of no use any more: it takes no other."""
         if self.link.early.pop(self.ex.ident, None) is None:
-            self.ex.soiled.append(self.link)
+            self.link.spent = True
             self.link.write(b"QUIT %s\r\n" % self.ex.ident)
         elif outcome is not None:
             outcome = Outcome.UNREACHED  # it never left
@@ -60,10 +61,13 @@
         self.address, self.bounds, self.log = address, bounds, log
         self.calls: dict[bytes, Call] = {}
         self.connected = False
+        self.spent = False  # it takes no more calls, and ends with its last one
+        self.surplus = 0  # replies that nobody waited for
         self.used = time.monotonic_ns()
         self.stream = IOStream(socket.socket(), max_write_buffer_size=bounds.backlog)
         self.intake = Intake(pool)
         self.early: dict[bytes, bytes] = {}  # calls placed while it connects, by exchange
+        self.partial: asyncio.TimerHandle | None = None  # ends a link whose reply does not
         self.task = asyncio.ensure_future(self._serve())
 
     async def _serve(self) -> None:
@@ -76,11 +80,12 @@
             parser = LineParser(self.intake, WITH_BODY, self.bounds.words)
             while True:
                 await self.intake.fill(self.stream)
+                taken = False
                 for words, body in parser.messages():
-                    if len(words) < 2 or words[1] not in REPLIES:
-                        raise Malformed(f"a reply {b' '.join(words)[:60]!r}")
-                    if call := self.calls.get(words[0]):
-                        call.end(REPLIES[words[1]], body)
+                    self._reply(words, body)
+                    taken = True
+                self._watch_partial(taken)
+                await asyncio.sleep(0)  # one that always has more to say must not keep the loop
         except StreamClosedError:
             pass
         except Malformed as error:
@@ -88,11 +93,34 @@
         finally:
             self.stream.close()
             self.intake.close()
+            self._watch_partial(True, ended=True)
             # One that was never connected carried nothing; one that broke proves nothing.
             outcome = Outcome.RESET if self.connected else Outcome.UNREACHED
             for call in list(self.calls.values()):
                 call.end(outcome)
 
+    def _reply(self, words: list[bytes], body: bytes) -> None:
+        if len(words) != (3 if words[1:2] == [b"DATA"] else 2) or words[1] not in REPLIES:
+            raise Malformed(f"a reply {b' '.join(words)[:60]!r}")
+        if call := self.calls.get(words[0]):
+            return call.end(REPLIES[words[1]], body)
+        # A second copy, or one to nobody: the others still get theirs here, but no new call does.
+        self.spent = True
+        self.surplus += 1
+        if self.surplus > self.bounds.call_surplus:
+            raise Malformed("replies that nobody waits for")
+        self.leave()
+
+    def _watch_partial(self, taken: bool, ended: bool = False) -> None:
+        """A reply that began must end soon, or its length was wrong and no other can follow it."""
+        whole = ended or self.intake.start == self.intake.end
+        if self.partial and (whole or taken):
+            self.partial.cancel()
+            self.partial = None
+        if not whole and not self.partial:
+            wait = self.bounds.call_partial / SECOND
+            self.partial = asyncio.get_running_loop().call_later(wait, self.stream.close)
+
     def place(self, ident: bytes, line: bytes) -> None:
         if self.connected:
             self.write(line)
@@ -102,9 +130,14 @@
     def write(self, line: bytes) -> None:
         send(self.stream, line)
 
+    def leave(self) -> None:
+        """Close it once it is of no more use."""
+        if self.spent and not self.calls:
+            self.stream.close()
+
 
 class Catalogue:
-    """The few links, opened as calls need them."""
+    """The links, opened as calls need them: one call each, so that what breaks on one costs no other."""
 
     def __init__(self, address: tuple[str, int] | None, pool: BufferPool, bounds: Bounds, log: Log) -> None:
         self.address, self.pool, self.bounds, self.log = address, pool, bounds, log
@@ -116,6 +149,7 @@
         if link is None:
             return ex.tell(News.REPLY, Outcome.UNREACHED, b"", 0)
         ex.call = link.calls[ex.ident] = Call(ex, link, until)
+        ex.call_links.append(link)
         wait_ms = max(1, (until - ex.call.placed) // MS)
         link.place(ex.ident, b"FETCH %s %d %d\r\n%s\r\n" % (ex.ident, wait_ms, len(body), body))
 
@@ -124,19 +158,32 @@
         if ex.call:
             ex.call.give_up(None)
 
+    def move(self, address: tuple[str, int] | None) -> None:
+        """Place all further calls at another address; the links to the old one end with their last call."""
+        if address == self.address:
+            return
+        self.address = address
+        for link in self.links:
+            link.spent = True
+            link.leave()
+
     def _link(self, ex: LiveExchange) -> CallLink | None:
-        """The least busy link on which no given-up call of this exchange may still be replied to."""
+        """The link used last among those free, a new one, or the least busy; never one that had a call of
+        this exchange: a second copy of its reply would be taken for that of the next."""
         self._trim()
         if self.address is None:
             return None
-        usable = [link for link in self.links if link not in ex.soiled]
-        if not usable and len(self.links) < self.bounds.call_links:
-            usable = [CallLink(self.address, self.pool, self.bounds, self.log)]
-            self.links += usable
+        usable = [link for link in self.links if not link.spent and link not in ex.call_links]
+        if free := [link for link in usable if not link.calls and link.connected]:
+            return max(free, key=lambda link: link.used)
+        if len(self.links) < self.bounds.call_links:
+            self.links.append(CallLink(self.address, self.pool, self.bounds, self.log))
+            return self.links[-1]
         return min(usable, key=lambda link: len(link.calls), default=None)
 
     def _trim(self) -> None:
-        """Drop what has ended, and close what is idle before the catalogue does: no call meets its close."""
+        """Drop what has ended, and close what was idle for so long that the catalogue may have closed it or
+        forgotten it: no call meets that."""
         now = time.monotonic_ns()
         for link in list(self.links):
             if not link.calls and now - link.used > self.bounds.call_idle:
--- a/oakkeel/directory/reports.py
+++ b/oakkeel/directory/reports.py
@@ -11,8 +11,9 @@
 
 class Reports:
     def __init__(self, address: tuple[str, int], name: str, bounds: Bounds) -> None:
-        self.name, self.every = name, bounds.pulse / SECOND
+        self.name, self.bounds = name, bounds
         self.taking = True
+        self.again = 0  # reports that still follow at once, as one that is lost would leave the old state
         self.timer: asyncio.TimerHandle | None = None
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
@@ -25,15 +26,26 @@
         """Listed as taking work or not: a change is told at once."""
         if taking != self.taking:
             self.taking = taking
-            if self.timer:
-                self.timer.cancel()
-                self._report()
+            self._tell_change()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on to another directory, which may not know this node."""
+        self.address = address
+        self._tell_change()
+
+    def _tell_change(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.again = self.bounds.pulse_times
+            self._report()
 
     def _report(self) -> None:
         word = "open" if self.taking else "closed"
         with contextlib.suppress(OSError):  # one that is down lets no entry lapse; the next report follows
             self.socket.sendto(f"PULSE {self.name} {word}".encode(), self.address)
-        self.timer = asyncio.get_running_loop().call_later(self.every, self._report)
+        wait = self.bounds.pulse_again if self.again else self.bounds.pulse
+        self.again = max(0, self.again - 1)
+        self.timer = asyncio.get_running_loop().call_later(wait / SECOND, self._report)
 
     def close(self) -> None:
         if self.timer:
--- a/oakkeel/dispatch/codec.py
+++ b/oakkeel/dispatch/codec.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
+import re
 import time
 from collections.abc import Callable
 from typing import Any
 
-from oakkeel.bounds import MS
+from oakkeel.bounds import MS, Bounds
 from oakkeel.dispatch.resp import encode
 from oakkeel.exchange import LiveExchange
 from oakkeel.interface import Effect, EndpointGroup, NodeLimits, Tenant
@@ -16,6 +16,8 @@
 COMPLETED, DENIED, TERMINATED = b"ok", b"full", b"fault"
 GOOD, BAD = b"yes", b"no"
 LAST = encode(b"0", b"last")
+BROKEN = encode(b"0", TERMINATED)  # to one whose bytes can't be read: no tag of its own is known
+IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 
 
 class Unreadable(ValueError):
@@ -25,8 +27,9 @@
 class ExchangeReader:
     """Makes exchanges of the words of a CALL, by the endpoint groups and tenants of this node."""
 
-    def __init__(self, limits: NodeLimits, groups: list[str], tenants: list[str],
+    def __init__(self, limits: NodeLimits, groups: list[str], tenants: list[str], bounds: Bounds,
                  unix_ns: Callable[[], int] = time.time_ns) -> None:
+        self.bounds = bounds
         self.groups: dict[bytes, EndpointGroup] = {
             name.encode(): group for name, group in zip(groups, limits.groups, strict=False)
         }
@@ -41,40 +44,53 @@
         if words[2] not in self.groups:
             raise Unreadable("an unknown endpoint group")
         group = self.groups[words[2]]
+        body = words[4] if len(words) == 5 else b""
         fields = dict(item.partition(b"=")[::2] for item in words[3].split(b",") if item)
         ident = fields.get(b"req", b"")
-        if len(ident) != 16:
+        if not IDENT.fullmatch(ident):  # it goes into lines to the engine and the catalogue as it is
             raise Unreadable("no id")
-        # How old it is, and how long its caller still waits, as of now: both count from its stamp.
-        age = max(0, self.unix_ns() - int(self._number(fields, b"ts") * MS)) if b"ts" in fields else 0
-        waits = int(self._number(fields, b"timeout") * MS) if b"timeout" in fields else 0
+        if len(body) > self.bounds.body:
+            raise Unreadable("a body that is too long")
+        # How old it is, and how long its caller still waits, as of now: both count from its stamp. A figure
+        # out of range would live on in what the decisions measure: one stamp of long ago took a node off the
+        # list for seconds.
+        age, waits = 0, 0
+        if b"ts" in fields:
+            age = self.unix_ns() - int(self._number(fields, b"ts", 1e15) * MS)
+            if abs(age) > self.bounds.stamp:
+                raise Unreadable("a stamp far from now")
+            age = max(0, age)
+        if b"timeout" in fields:
+            waits = int(self._number(fields, b"timeout", self.bounds.patience / MS) * MS)
+        if b"level" in fields:
+            self._number(fields, b"level", 1.0)
         mark = fields.get(b"opkey" if group.effect is Effect.DEDUPLICATED else b"subject", b"")
         return LiveExchange(
             group=group,
             tenant=self.tenants.get(fields.get(b"owner", b"")),
-            caller=int(self._number(fields, b"via")) if b"via" in fields else 0,
-            memory_kb=self._number(fields, b"need"),
+            caller=int(self._number(fields, b"via", 1e15)) if b"via" in fields else 0,
+            memory_kb=self._number(fields, b"need", self.bounds.need),
             marked_retry=fields.get(b"resent") == b"1",
-            left=max(1, waits - age) if waits else 0,
+            left=max(1, min(waits, group.async_timeout) - age) if waits else 0,
             backlog=age,
             has_key=bool(mark),
             repeats=False,
             ident=ident,
             tag=tag,
             group_name=words[2],
-            body=words[4] if len(words) == 5 else b"",
+            body=body,
             key=(group.index, mark) if mark else None,
             connection=connection,
         )
 
     @staticmethod
-    def _number(fields: dict[bytes, bytes], name: bytes) -> float:
+    def _number(fields: dict[bytes, bytes], name: bytes, below: float) -> float:
         try:
             value = float(fields.get(name, b"none"))
         except ValueError:
-            value = math.nan
-        if not 0 <= value < 1e15:
-            raise Unreadable(f"no number in {name.decode()}")
+            value = -1.0
+        if not 0 <= value < below:
+            raise Unreadable(f"no number in range in {name.decode()}")
         return value
 
 
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -23,6 +24,7 @@
 
     def arrived(self, ex: LiveExchange) -> None: ...
     def gone(self, ex: LiveExchange) -> None: ...
+    def holds(self, ident: bytes) -> bool: ...
     def healthy(self) -> bool: ...
     def signal(self) -> float | None: ...
 
@@ -31,25 +33,34 @@
     """Reads arrays, writes answers, and knows what is open on it."""
 
     def __init__(self, stream: IOStream, pool: BufferPool, bounds: Bounds, front: Front, log: Log,
-                 idle_changed: Callable[[Connection], None]) -> None:
+                 heard: Callable[[Connection], None]) -> None:
         self.stream, self.bounds, self.front, self.log = stream, bounds, front, log
-        self.idle_changed = idle_changed  # called with the connection whenever it gets busy or idle
+        self.heard = heard  # called with the connection after each array, and whenever it gets idle
         self.intake = Intake(pool)
         self.open: dict[int, LiveExchange] = {}
+        self.worked = False  # an exchange came on it
         self.leaving = False  # `0 last` is sent
+        self.faults = 0
+        self.awaited = time.monotonic_ns()  # the whole array that is due, since then; 0: none is
+        self.taken = 0  # since when a write waits for the dispatcher; 0: none does
         self.backlog, self.sending = bytearray(), 0  # answers to send, and bytes being sent
         self.moved = asyncio.Event()  # set when an exchange on it is over or an answer on its way
 
     async def serve(self) -> None:
         try:
             while True:
-                for words in arrays(self.intake, self.bounds.words):
-                    self._take(words)
+                read_at = time.monotonic_ns()
+                await self.intake.fill(self.stream)
+                self._parse()
                 # One that leaves its answers unread gets no more of them until it has taken some.
                 await self._until(lambda: self.unread <= self.bounds.unread)
-                await self.intake.fill(self.stream)
+                # One that always has more to say must not keep the loop: a done future does not yield.
+                pause = read_at + self.bounds.read_pause - time.monotonic_ns()
+                await asyncio.sleep(max(0, pause) / SECOND)
         except Malformed as error:
             self.log.say(f"a dispatcher's connection can't be read: {error}")
+            self.write(codec.BROKEN)
+            asyncio.get_running_loop().call_later(self.bounds.broken / SECOND, self.close)
             await self._until(lambda: not self.open and not self.unread)
         except StreamClosedError:
             pass
@@ -59,6 +70,31 @@
             for ex in list(self.open.values()):
                 self._drop(ex)
 
+    def close(self) -> None:
+        """End it now: its coroutine winds up what is open."""
+        self.stream.close()
+        self.moved.set()
+
+    def _parse(self) -> None:
+        taken = False
+        for words in arrays(self.intake, self.bounds.words):
+            self._take(words)
+            taken = True
+            if self.faults >= self.bounds.faults:
+                raise Malformed("too many exchanges that can't be used")
+        if self.intake.start == self.intake.end:
+            self.awaited = 0
+        elif taken or not self.awaited:
+            self.awaited = time.monotonic_ns()
+        if taken:
+            self.heard(self)
+
+    def overdue(self, now: int) -> bool:
+        """Nothing whole came from it for too long, or it takes nothing: its place is for those that work."""
+        bounds = self.bounds
+        return bool(self.awaited and now - self.awaited > bounds.silent
+                    or self.taken and now - self.taken > bounds.untaken)
+
     def _take(self, words: list[bytes]) -> None:
         verb, tag = words[0], words[1] if len(words) > 1 else b""
         number = int(tag) if tag.isdigit() and len(tag) <= 18 else 0
@@ -77,19 +113,29 @@
 
     def _call(self, tag: int, words: list[bytes]) -> None:
         reader = self.front.reader
-        if reader is None or len(self.open) >= self.bounds.open_exchanges:
+        if reader is None:
             return self.write(codec.answer(tag, codec.DENIED, self.front.signal()))
+        if len(self.open) >= self.bounds.open_exchanges:
+            self.write(codec.answer(tag, codec.DENIED, self.front.signal()))
+            raise Malformed(f"more than {self.bounds.open_exchanges} exchanges open")
         try:
             ex = reader.read(tag, words, self)
+            if self.front.holds(ex.ident):
+                raise codec.Unreadable("an id that is open already")  # the first must not notice
         except codec.Unreadable as error:
             return self._unreadable(tag, str(error))
         self.open[tag] = ex
-        self.idle_changed(self)
+        self.worked = True
         self.front.arrived(ex)
 
     def _unreadable(self, tag: int, why: str) -> None:
-        self.log.say(f"an exchange can't be read: {why}")
         self.write(codec.answer(tag, codec.TERMINATED, self.front.signal()))
+        self.fault(f"an exchange can't be read: {why}")
+
+    def fault(self, why: str) -> None:
+        """One that goes on sending what nobody can use is read no further: each such exchange costs time."""
+        self.log.say(why)
+        self.faults += 1
 
     def _drop(self, ex: LiveExchange) -> None:
         """Its caller no longer waits."""
@@ -103,7 +149,7 @@
 
     def _close_exchange(self, ex: LiveExchange) -> None:
         if self.open.pop(ex.tag, None) and not self.open:
-            self.idle_changed(self)
+            self.heard(self)
             self.moved.set()
 
     def write(self, data: bytes) -> None:
@@ -117,11 +163,11 @@
         data = bytes(self.backlog)
         self.backlog.clear()
         if written := send(self.stream, data):
-            self.sending = len(data)
+            self.sending, self.taken = len(data), time.monotonic_ns()
             written.add_done_callback(self._pushed)
 
     def _pushed(self, _: asyncio.Future) -> None:
-        self.sending = 0
+        self.sending = self.taken = 0
         if self.backlog:
             self._push()
         self.moved.set()
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -23,9 +23,11 @@
         self.pool, self.bounds, self.front, self.log = pool, bounds, front, log
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task] = set()
+        self.silent: dict[Connection, None] = {}  # no exchange came on them, the longest unheard first
         self.idle: dict[Connection, int] = {}  # since when nothing is open on it, the longest first
         self.idle_after = 0  # 0: idle connections stay
         self.idle_timer: asyncio.TimerHandle | None = None
+        self.sweeper: asyncio.TimerHandle | None = None
         self.emptied = asyncio.Event()  # set whenever a connection ends
         self.refuse: Callable[[], None] | None = None
         self.socket = socket.socket()
@@ -35,33 +37,46 @@
         self.socket.listen(1024)
 
     def open(self) -> None:
-        if self.refuse is None:
-            self.refuse = add_accept_handler(self.socket, self._accept)
+        self.refuse = add_accept_handler(self.socket, self._accept)
+        self._sweep()
 
     def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran."""
-        self._pause()
-        self.socket.close()
-
-    def _pause(self) -> None:
         if self.refuse:
             self.refuse()
             self.refuse = None
+        self.socket.close()
 
     def _accept(self, accepted: socket.socket, _: object) -> None:
+        if len(self.connections) >= self.bounds.connections and not self._make_room():
+            return accepted.close()  # nothing ran on it: better than to wait unseen, until it is too late
         with contextlib.suppress(OSError):  # reset by now: its stream finds out
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(accepted, max_buffer_size=self.bounds.buffer_size,
                           read_chunk_size=self.bounds.buffer_size)
-        connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._idle_changed)
+        connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._heard)
         self.connections.add(connection)
+        self.silent[connection] = None
         task = asyncio.ensure_future(self._serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        if len(self.connections) >= self.bounds.connections and self.refuse:
-            self.log.say("no descriptors left: no new connections until one ends")
-            self._pause()
-            self._trim(longest=True)
+
+    def _make_room(self) -> bool:
+        """End the connection that said nothing for longest, or else the one idle for longest."""
+        self.log.say("no descriptors left: a connection that is not at work makes room")
+        for waiting in (self.silent, self.idle):
+            if waiting:
+                connection = next(iter(waiting))
+                connection.close()
+                self._forget(connection)
+                return True
+        return False
+
+    def _forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        self.silent.pop(connection, None)
+        self.idle.pop(connection, None)
+        self.emptied.set()
 
     async def _serve(self, connection: Connection) -> None:
         try:
@@ -69,11 +84,14 @@
         except Exception as error:  # one connection must not end the node
             self.log.say(f"a connection ended by {type(error).__name__}: {error}")
         finally:
-            self.connections.discard(connection)
-            self.idle.pop(connection, None)
-            self.emptied.set()
-            if self.socket.fileno() >= 0 and len(self.connections) < self.bounds.connections:
-                self.open()
+            self._forget(connection)
+
+    def _sweep(self) -> None:
+        """End what is overdue, again and again."""
+        now = time.monotonic_ns()
+        for connection in [each for each in self.connections if each.overdue(now)]:
+            connection.close()
+        self.sweeper = asyncio.get_running_loop().call_later(self.bounds.sweep / SECOND, self._sweep)
 
     def last(self) -> None:
         for connection in list(self.connections):
@@ -84,6 +102,8 @@
         while self.connections:
             self.emptied.clear()
             await self.emptied.wait()
+        if self.sweeper:
+            self.sweeper.cancel()
 
     # Idle connections.
 
@@ -91,25 +111,28 @@
         self.idle_after = after
         self._trim()
 
-    def _idle_changed(self, connection: Connection) -> None:
-        if connection.open:
-            self.idle.pop(connection, None)
-        else:
+    def _heard(self, connection: Connection) -> None:
+        if connection not in self.connections:
+            return  # it has made room, and winds up what was open on it
+        self.silent.pop(connection, None)
+        self.idle.pop(connection, None)
+        if not connection.worked:
+            self.silent[connection] = None  # it is checked only: no exchange pays for its place
+        elif not connection.open:
             self.idle[connection] = time.monotonic_ns()
             if self.idle_timer is None:
                 self._trim()
 
-    def _trim(self, longest: bool = False) -> None:
+    def _trim(self) -> None:
         """Ask those to close that were idle for long enough, and come back when the next may have been."""
         if self.idle_timer:
             self.idle_timer.cancel()
             self.idle_timer = None
         now = time.monotonic_ns()
-        while self.idle and (self.idle_after or longest):
+        while self.idle and self.idle_after:
             connection, since = next(iter(self.idle.items()))
-            if not longest and (wait := since + self.idle_after - now) > 0:
+            if (wait := since + self.idle_after - now) > 0:
                 self.idle_timer = asyncio.get_running_loop().call_later(wait / SECOND, self._trim)
                 return
-            longest = False
             del self.idle[connection]
             connection.leave()
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,14 +30,13 @@
 
 @dataclass(slots=True, eq=False)
 class Command:
-    """A command that the engine has not been heard to have read."""
+    """A command whose effect may still be lost with the link."""
 
     line: bytes
     ex: LiveExchange | None  # None for a mark: the gauges were asked for here
     verb: bytes
-    tag: bytes = b""
     heard: int = 0  # the number of the last notice for the exchange when it was given
-    written: bool = False
+    written: int = 0  # when, 0: not yet
 
     def owed(self) -> bool:
         """Whether it may be sent again on a new link.
@@ -47,9 +47,24 @@
         ex = self.ex
         if ex is None or not ex.in_engine:
             return False
-        if self.verb == b"HALT":
+        if self.verb == b"HALT" or not self.written:
             return True
-        return self.heard == ex.heard and not (self.written and self.verb == b"RUN" and ex.group.once)
+        return self.heard == ex.heard and not self.doubtful()
+
+    def doubtful(self) -> bool:
+        """Nothing proves that this run was started, nor that it was not, and it may not be started twice."""
+        ex = self.ex
+        return bool(ex and ex.in_engine and self.written and self.verb == b"RUN" and ex.group.once
+                    and self.heard == ex.heard)
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    """Gauges that were asked for: whoever waits for them, and the mark among the commands."""
+
+    future: asyncio.Future[list[float]]
+    mark: Command
+    at: int
 
 
 class EngineLink:
@@ -60,11 +75,14 @@
         self.address, self.pool, self.bounds, self.log, self.started = address, pool, bounds, log, started
         self.runs: dict[bytes, LiveExchange] = {}
         self.unconfirmed: deque[Command] = deque()
-        self.asked: dict[bytes, asyncio.Future[list[float]]] = {}  # gauges, by tag
+        self.marks: deque[tuple[int, Command]] = deque()  # with the time when the engine had read so far
+        self.doubtful: dict[LiveExchange, int] = {}  # their run may be lost; when they were seen answered
+        self.asked: dict[bytes, Asked] = {}  # gauges, by tag, the oldest first
         self.tags = count(1)
         self.heard = 0  # the number of the last notice read
         self.up = False  # the engine has said how it started
-        self.barrier = b""  # the tag of the gauges that end the taking up of a link
+        self.barrier, self.barrier_at = b"", 0  # the tag of the gauges that end the taking up of a link
+        self.swap = b""  # the tag of the gauges that end an old link
         self.stream: IOStream | None = None
         self.open = False  # attached, and all that was missed is read
         self.losses = 0
@@ -72,6 +90,7 @@
     async def serve(self) -> None:
         """Attach and read, again and again."""
         while True:
+            tried = time.monotonic_ns()
             stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
             intake = Intake(self.pool)
             try:
@@ -83,6 +102,7 @@
                     await intake.fill(stream)
                     for words, body in parser.messages():
                         self._notice(words, body)
+                    await asyncio.sleep(0)  # one that always has more to say must not keep the loop
             except StreamClosedError:
                 pass
             except Malformed as error:
@@ -92,11 +112,26 @@
             finally:
                 stream.close()
                 intake.close()
-                if self.stream is stream:
+                if self.stream is stream and not self.swap:
                     self.losses += 1
                     self.log.say("the engine's link is lost")
-                self.stream, self.open = None, False
-            await asyncio.sleep(self.bounds.engine_retry / SECOND)
+                self.stream, self.open, self.barrier, self.swap = None, False, b"", b""
+            wait = tried + self.bounds.engine_retry - time.monotonic_ns()
+            await asyncio.sleep(max(0, wait) / SECOND)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go over to another address as soon as the engine has read all that was written so far."""
+        if address == self.address:
+            return
+        self.address = address
+        if (stream := self.stream) is None:
+            return  # the next try goes there
+        if not self.open:
+            return stream.close()
+        self.open = False  # commands wait for the new link
+        self.swap = b"w%d" % next(self.tags)
+        send(stream, b"STAT %s\r\n" % self.swap)
+        asyncio.get_running_loop().call_later(self.bounds.engine_swap / SECOND, stream.close)
 
     # Commands.
 
@@ -129,16 +164,37 @@
 
     def _write(self, command: Command) -> None:
         if self.stream and send(self.stream, command.line):
-            command.written = True
+            command.written = time.monotonic_ns()
 
     def ask_gauges(self) -> asyncio.Future[list[float]] | None:
         """Ask for the gauges; None while there is no link to ask on."""
+        now = time.monotonic_ns()
+        oldest = next(iter(self.asked.values())).at if self.asked and self.open else now
+        since = self.barrier_at if self.barrier else oldest
+        if self.stream and now - since > self.bounds.engine_silent:
+            self.log.say("the engine's link is silent")
+            self.stream.close()
         if not self.open:
             return None
+        self._settle_doubts(now)
         tag = b"%d" % next(self.tags)
-        self.asked[tag] = asyncio.get_running_loop().create_future()
-        self._send(Command(b"STAT %s\r\n" % tag, None, b"STAT", tag))
-        return self.asked[tag]
+        mark = Command(b"STAT %s\r\n" % tag, None, b"STAT")
+        asked = Asked(asyncio.get_running_loop().create_future(), mark, now)
+        self.asked[tag] = asked
+        self._send(asked.mark)
+        return asked.future
+
+    def _settle_doubts(self, now: int) -> None:
+        """Ask to run once more what was answered long since: a run that is over or was lost is told as
+        `nothing`, one that is there goes on. Without it the decisions would count a lost run for ever."""
+        for ex, since in list(self.doubtful.items()):
+            if not ex.in_engine:
+                del self.doubtful[ex]
+            elif ex.answered and not since:
+                self.doubtful[ex] = now
+            elif since and now - since > self.bounds.engine_silent:
+                del self.doubtful[ex]
+                self.run(ex)
 
     # Notices.
 
@@ -176,6 +232,8 @@
         """A run that the engine does not know is over; of the other commands nothing hangs on."""
         self.log.say(f"the engine did not carry out {verb.decode(errors='replace')}")
         if verb in (b"RUN", b"HALT"):
+            if (ex := self.runs.get(ident)) and verb == b"RUN":
+                ex.unknown = True
             self._done(ident, Outcome.ERROR, 0, b"")
 
     def _hello(self, state: bytes, age: int) -> None:
@@ -183,24 +241,35 @@
         if not self.up:
             self.up = True
             self.started(state == b"booting", age)
-        self.barrier = b"b%d" % next(self.tags)
+        self.barrier, self.barrier_at = b"b%d" % next(self.tags), time.monotonic_ns()
         if self.stream:
             send(self.stream, b"STAT %s\r\n" % self.barrier)
 
     def _stats(self, tag: bytes, values: list[float]) -> None:
+        now = time.monotonic_ns()
         if tag == self.barrier:
             self.barrier = b""
             self._take_up()
-        elif tag in self.asked:
-            while self.unconfirmed and self.unconfirmed.popleft().tag != tag:
-                pass  # the engine read all that was written before the question
-            future = self.asked.pop(tag)
-            if not future.done():
-                future.set_result(values)
+        elif tag == self.swap and self.stream:
+            # All that was written is read: none of it is owed on the new link.
+            self.unconfirmed = deque(command for command in self.unconfirmed if not command.written)
+            self.stream.close()
+        elif asked := self.asked.pop(tag, None):
+            if not asked.future.done():
+                asked.future.set_result(values)
+            # The engine read all that was written before the question, but a break may still take the
+            # youngest with it.
+            self.marks.append((now, asked.mark))
+            while self.marks and self.marks[0][0] <= now - self.bounds.engine_loss:
+                _, mark = self.marks.popleft()
+                while self.unconfirmed and self.unconfirmed.popleft() is not mark:
+                    pass
 
     def _take_up(self) -> None:
         """Send again what is still owed, now that all that was missed is known."""
         self.asked.clear()  # who waits for gauges that were lost stops waiting by itself
+        self.marks.clear()
+        self.doubtful |= {command.ex: 0 for command in self.unconfirmed if command.ex and command.doubtful()}
         self.unconfirmed = deque(command for command in self.unconfirmed if command.owed())
         self.open = True
         for command in self.unconfirmed:
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -46,7 +46,8 @@
     in_engine: bool = False  # from the command to run until the notice that the run is over
     heard: int = 0  # the number of the last notice for it
     call: Any = None  # the call in flight
-    soiled: list = field(default_factory=list)  # links on which a call of its was given up
+    unknown: bool = False  # the engine knows no such exchange
+    call_links: list = field(default_factory=list)  # on which calls of its were placed
     earlier: Any = None  # what is kept of the exchange that it repeats
     kept_as: Any = None  # what is kept of itself
     news: deque = field(default_factory=deque)
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 
 from oakkeel.bounds import SECOND
@@ -13,12 +14,13 @@
 from oakkeel.dispatch.listener import Listener
 from oakkeel.engine.link import EngineLink
 from oakkeel.exchange import LiveExchange, News
+from oakkeel.limits import LimitsError
 from oakkeel.log import Log
 from oakkeel.node.host import NodeHost
 from oakkeel.node.kept import KeptExchanges
 from oakkeel.node.life import Lives
 from oakkeel.node.measures import Measures
-from oakkeel.node.start import Start
+from oakkeel.node.start import Start, read_start
 from oakkeel.streams import BufferPool
 
 
@@ -31,9 +33,10 @@
         self.log = Log(start.name, bounds.log_lines)
         self.measures = Measures()
         links = 2 + bounds.call_links
-        self.pool = BufferPool(bounds.buffer_size, bounds.connections + 2 * links)
+        buffers = 2 * (bounds.connections + links)  # some end while others begin
+        self.pool = BufferPool(bounds.buffer_size, buffers)
         self.reader: ExchangeReader | None = None
-        self.lives: dict[LiveExchange, asyncio.Task] = {}
+        self.lives: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
         self.done = asyncio.Event()
         self.draining: asyncio.Task | None = None
         self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
@@ -45,12 +48,13 @@
                              self.log)
         self.life = Lives(self.host, self.engine, self.catalogue, self.kept, self.measures, self.log)
 
-    async def run(self) -> None:
-        """From the start to the end of the drain."""
+    async def run(self, told_again: bool = False) -> None:
+        """From the start to the end of the drain; `told_again`: a SIGHUP came before there was a loop."""
         loop = asyncio.get_running_loop()
         self.log.take_others(loop)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.leave)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.listener.open()
         self.reports.start()
         serving = asyncio.ensure_future(self.engine.serve())
@@ -59,7 +63,11 @@
         gc.freeze()  # what is loaded by now lives as long as the process
         host, port = self.listener.socket.getsockname()
         self.log.say(f"listening on {host}:{port}")
+        if told_again:
+            self.reload()
         await self.done.wait()
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while the loop closes
         serving.cancel()
         self.reports.close()
         self.log.say(self._measured())
@@ -69,16 +77,31 @@
         if self.draining:
             return  # it leaves without having taken anything
         self.host.begin(cold, age)
-        self.reader = ExchangeReader(self.start.limits, self.start.groups, self.start.tenants)
+        self.reader = ExchangeReader(self.start.limits, self.start.groups, self.start.tenants, self.bounds)
         self.log.say(f"the engine is up, {'cold' if cold else 'steady'}, {age / SECOND:.1f} s old")
 
+    def reload(self) -> None:
+        """Go over to the engine, catalogue and directory that the file names by now, or stay as it is."""
+        try:
+            start = read_start(os.environ)
+        except (LimitsError, OSError) as error:
+            return self.log.say(f"the new configuration is not taken: {error}")
+        self.engine.move(start.engine)
+        self.catalogue.move(start.catalogue)
+        self.reports.move(start.lookup)
+        self.log.say("the new configuration is taken")
+
     # The front of the connections.
 
     def arrived(self, ex: LiveExchange) -> None:
         self.measures.read += 1
         task = asyncio.ensure_future(self.life.live(ex))
-        self.lives[ex] = task
-        task.add_done_callback(lambda _: self.lives.pop(ex))
+        self.lives[ex.ident] = task
+        task.add_done_callback(lambda _: self.lives.pop(ex.ident))
+
+    def holds(self, ident: bytes) -> bool:
+        """Whether an exchange of that id is open, or its run is."""
+        return ident in self.lives
 
     def gone(self, ex: LiveExchange) -> None:
         if not ex.answered:
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/life.py
@@ -96,6 +96,8 @@
         # this one as running: told that it never was there, they would count it for ever.
         told = Outcome.STOPPED if outcome is Outcome.MOOT else outcome
         self.host.tell(self.host.keel.run_done, ex, told, spent)
+        if ex.unknown:
+            ex.connection.fault("the engine knows no such exchange")
         if ex.ran:
             self.kept.ended(ex, told, result)
         self._answer_run(ex, outcome, result)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -6,6 +6,7 @@
 import json
 import os
 import queue
+import signal
 import socket
 import subprocess
 import sys
@@ -299,6 +300,7 @@
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             file.write(told if isinstance(told, str) else json.dumps(told))
         self.addCleanup(os.unlink, file.name)
+        self.config = file.name
         given = {"PROXY_CONFIG": file.name} if told is not None else {}
         self.process = subprocess.Popen([sys.executable, "-m", "oakkeel"], env={**os.environ, **given},
                                         stderr=subprocess.PIPE, text=True)
@@ -307,6 +309,23 @@
         self.addCleanup(watch.cancel)
         return self.process
 
+    def reload(self, told: dict | str) -> None:
+        """Replace the file and tell the node to read it again."""
+        with open(self.config, "w") as file:
+            file.write(told if isinstance(told, str) else json.dumps(told))
+        self.process.send_signal(signal.SIGHUP)
+
+    def replace_parties(self) -> tuple[Engine, socket.socket, socket.socket]:
+        """A new engine, catalogue and directory; returns the old ones."""
+        old = self.engine, self.catalogue, self.directory
+        self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
+        self.directory = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.directory.bind(("127.0.0.1", 0))
+        self.directory.settimeout(WAIT)
+        for opened in (old[0], old[0].server, *old[1:]):
+            self.addCleanup(opened.close)
+        return old
+
     def begin(self, attach: bool = True, state: str = "steady", age: str = "60000.5", **changes) -> None:
         """Start the node, learn its port from its log, and let its engine be up."""
         self.launch(self.told(**changes))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import unittest
 
 from oakkeel.bounds import MS, SECOND, Bounds
 from oakkeel.catalogue.links import Catalogue
+from oakkeel.directory.reports import Reports
 from oakkeel.dispatch.resp import arrays, encode
 from oakkeel.engine.link import EngineLink
 from oakkeel.exchange import LiveExchange, News
@@ -104,7 +106,7 @@
         self.writers = []
         self.server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
         address = self.server.sockets[0].getsockname()
-        self.catalogue = Catalogue(address, BufferPool(8192, 9), BOUNDS, LOG)
+        self.catalogue = Catalogue(address, BufferPool(8192, 99), BOUNDS, LOG)
 
     async def _accepted(self, reader, writer):
         self.writers.append(writer)
@@ -156,6 +158,44 @@
             self.assertEqual((await ex.hear())[1], outcome)
         self.assertEqual(len(self.catalogue.links), 1)
 
+    async def _placed(self, ident):
+        """An exchange whose call is at the catalogue, with the two ends of its link there."""
+        ex = exchange(ident)
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        reader, writer = await asyncio.wait_for(self.peers.get(), WAIT)
+        await reader.readline()
+        return ex, writer
+
+    async def test_a_reply_that_breaks_its_link_costs_no_other_call(self):
+        # With four links for all, each spoilt, silent or reset one took the calls beside it along.
+        other, other_writer = await self._placed(b"0123456789abcdef")
+        for number, spoilt in enumerate((b"\x00\xff\r\n", b"%s DATA 3000000000\r\nxx", b"%s DATA 9\r\nabc",
+                                         b"%s DATA 2\r\nabcdef\r\n", b"%s DATA 1 2\r\nab\r\n",
+                                         b"%s FAULT 1\r\n", b"x" * 9000, b"%s DA")):
+            ex, writer = await self._placed(b"%016x" % number)
+            writer.write(spoilt.replace(b"%s", ex.ident))
+            self.assertEqual((await asyncio.wait_for(ex.hear(), WAIT))[1], Outcome.RESET, spoilt)
+        other_writer.write(b"%s DATA 2\r\nok\r\n" % other.ident)
+        self.assertEqual((await other.hear())[1:3], (Outcome.COMPLETED, b"ok"))
+
+    async def test_a_good_reply_counts_though_more_comes_with_it_and_its_link_takes_no_other_call(self):
+        stray = b"feedfeedfeedfeed DATA 1\r\nx\r\n%s"
+        for number, (ahead, behind) in enumerate(((b"%s", b"%s"), (stray, b""))):
+            ex, writer = await self._placed(b"%016x" % number)
+            reply = b"%s DATA 2\r\nok\r\n" % ex.ident
+            writer.write(ahead.replace(b"%s", reply) + behind.replace(b"%s", reply))
+            self.assertEqual((await asyncio.wait_for(ex.hear(), WAIT))[1:3], (Outcome.COMPLETED, b"ok"))
+            self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"next")
+            await asyncio.wait_for(self.peers.get(), WAIT)  # a link of its own
+            ex.call.give_up(None)
+
+    async def test_a_link_on_which_a_call_went_unanswered_takes_no_other(self):
+        ex, writer = await self._placed(b"0123456789abcdef")
+        link = ex.call.link
+        ex.call.give_up()
+        await self._placed(b"1123456789abcdef")
+        self.assertTrue(link.stream.closed())
+
     async def test_an_idle_link_is_not_used_again_just_before_it_is_closed(self):
         ex, first = await self._replied()
         first.used -= BOUNDS.call_idle + SECOND
@@ -177,9 +217,11 @@
         ex.call.give_up()
         self.assertEqual((await ex.hear())[1], Outcome.UNREACHED)
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"second")
-        reader, _ = await asyncio.wait_for(self.peers.get(), WAIT)
-        await reader.readline()
-        self.assertEqual(await reader.readline(), b"second\r\n")
+        readers = [(await asyncio.wait_for(self.peers.get(), WAIT))[0] for _ in range(2)]
+        self.catalogue.links[0].stream.close()
+        self.assertEqual(await asyncio.wait_for(readers[0].read(), WAIT), b"")
+        await readers[1].readline()
+        self.assertEqual(await readers[1].readline(), b"second\r\n")
 
 
 class EngineStories(unittest.IsolatedAsyncioTestCase):
@@ -206,6 +248,20 @@
         server.close()
 
 
+class ReportStories(unittest.IsolatedAsyncioTestCase):
+    async def test_a_change_is_told_again_at_once_as_one_report_may_be_lost(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as directory:
+            directory.bind(("127.0.0.1", 0))
+            directory.setblocking(False)
+            loop = asyncio.get_running_loop()
+            reports = Reports(directory.getsockname(), "n3", replace(BOUNDS, pulse=600 * SECOND))
+            reports.start()
+            reports.set_taking(False)
+            said = [await asyncio.wait_for(loop.sock_recv(directory, 99), WAIT) for _ in range(4)]
+            reports.close()
+            self.assertEqual(said, [b"PULSE n3 open"] + [b"PULSE n3 closed"] * 3)
+
+
 class KeptStories(unittest.TestCase):
     def test_a_read_is_shared_while_fresh_and_not_after(self):
         kept, first = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import subprocess
+import threading
 import time
 import unittest
 
@@ -55,8 +56,9 @@
         # A mutating exchange shows the difference: the first is placed again, the second is terminated.
         dispatcher, ident, link = self.calling("pay")
         link.say(f"{ident} LATER")
-        self.assertEqual(link.next()[:2], ("FETCH", ident))
-        link.close()
+        again = self.catalogue_link()  # never the same link: a second reply there would be taken for its own
+        self.assertEqual(again.next()[:2], ("FETCH", ident))
+        again.close()
         self.assertEqual(dispatcher.answer()[:2], (1, b"fault"))
         self.catalogue.setblocking(False)
         self.assertRaises(BlockingIOError, self.catalogue.accept)
@@ -214,7 +216,7 @@
             ident = dispatcher.call()
             self.engine.next()
             dispatcher.socket.sendall(garbage)
-            self.log("can't be read")
+            self.assertEqual(dispatcher.answer()[:2], (0, b"fault"))
             self.engine.done(ident)
             self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
             with contextlib.suppress(ConnectionResetError):
@@ -250,6 +252,154 @@
         self.assertEqual(dispatcher.next(), [])
 
 
+    def test_connections_that_say_nothing_or_half_are_closed_and_make_room(self):
+        # They were never idle, filled the table, and no dispatcher was accepted any more.
+        self.begin(limits={"cores": 1.0, "memory_mb": 192, "sockets": 140})
+        quiet = [self.dispatcher() for _ in range(70)]
+        quiet[-1].socket.sendall(b"*5\r\n$4\r\nCA")
+        self.engine.done(self.dispatcher().call() and self.engine.next()[1])  # the table is full
+        start = time.monotonic()
+        for each in quiet:
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(each.next(), [])
+        self.assertLess(time.monotonic() - start, 3)
+
+    def test_connections_held_for_good_make_room_for_those_that_work(self):
+        self.begin(limits={"cores": 1.0, "memory_mb": 192, "sockets": 140},
+                   settings=self.settings(idle=600 * 10**9))
+        for _ in range(60):
+            held = self.dispatcher()
+            self.engine.done(held.call() and self.engine.next()[1])
+            self.assertEqual(held.answer()[1], b"ok")
+
+    def test_an_id_that_is_open_is_not_taken_again_and_the_first_does_not_notice(self):
+        # The second took the first one's place, and was answered with its result.
+        dispatcher, ident = self.running()
+        other = self.dispatcher()
+        other.send("CALL", "1", "quote", f"req={ident},need=1", b"another body")
+        self.assertEqual(other.answer()[:2], (1, b"fault"))
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_ids_and_figures_that_cant_be_are_refused_and_change_nothing(self):
+        self.begin()
+        now = time.time_ns() // 10**6
+        for fields in ("req=12345678 9abcdef,need=1", "req=1234567\r\nabcdef,need=1",
+                       "req=0123456789abcdeg,need=1", "need=1", "req={},need=0x10", "req={},need=nan",
+                       "req={},need=1e9", "req={},need=-1",
+                       "req={},need=1,ts=5", "req={},need=1,ts=inf", f"req={{}},need=1,ts={now * 2}",
+                       "req={},need=1,timeout=1e12", "req={},need=1,level=1.5", "req={},need=1,via=nan"):
+            dispatcher = self.dispatcher()
+            dispatcher.send("CALL", "1", "quote", fields.format("0123456789abcdef"), b"")
+            self.assertEqual(dispatcher.answer()[:2], (1, b"fault"), fields)
+        dispatcher.send("CALL", "2", "quote", "req=0123456789abcdef,need=1", bytes(3000))
+        self.assertEqual(dispatcher.answer()[:2], (2, b"fault"))
+        dispatcher.send("CHECK", "3", "")
+        self.assertEqual(dispatcher.answer()[:2], (3, b"yes"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_one_that_goes_on_with_what_nobody_can_use_is_read_no_further(self):
+        self.begin()
+        for useless in ("unheard-of", "quote"):
+            dispatcher = self.dispatcher()
+            for tag in range(1, 9):
+                ident = dispatcher.call(useless, tag=tag)
+                if useless == "quote":
+                    self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+                    self.engine.say(f"NO RUN {ident}")
+                self.assertEqual(dispatcher.answer()[:2], (tag, b"fault"))
+            with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+                dispatcher.call(tag=9)
+                while dispatcher.next():
+                    pass
+
+    def test_more_open_exchanges_than_may_be_are_denied_and_the_rest_is_not_read(self):
+        self.begin()
+        dispatcher = self.dispatcher()
+        for tag in range(1, 200):
+            dispatcher.call(tag=tag)
+        said = []
+        with contextlib.suppress(ConnectionResetError):
+            while words := dispatcher.next():
+                said.append(words)
+        self.assertIn([b"0", b"fault"], [words[:2] for words in said])
+        self.assertNotIn(b"199", [words[0] for words in said])
+
+    def test_one_that_always_has_more_to_say_does_not_hold_up_the_others(self):
+        self.begin()
+        flood, stop = self.dispatcher(), threading.Event()
+
+        def pour():
+            with contextlib.suppress(OSError):
+                for first in range(1, 10**9, 500):
+                    if stop.is_set():
+                        return
+                    flood.socket.sendall(b"".join(encode(b"CANCEL", b"%d" % tag)
+                                                  for tag in range(first, first + 500)))
+
+        pouring = threading.Thread(target=pour)
+        pouring.start()
+        try:
+            other = self.dispatcher()
+            start = time.monotonic()
+            for _ in range(20):
+                self.engine.done(other.call() and self.engine.next()[1])
+                self.assertEqual(other.answer()[1], b"ok")
+            self.assertLess(time.monotonic() - start, 5)
+        finally:
+            stop.set()
+            flood.socket.shutdown(socket.SHUT_RDWR)
+            pouring.join()
+
+
+class ReloadStories(NodeStory):
+    def test_a_new_configuration_is_gone_over_to_with_nothing_lost(self):
+        # SIGHUP ended the node.
+        dispatcher, ident, link = self.calling("card")
+        before = self.report().split()
+        old, _, _ = self.replace_parties()
+        self.reload(self.told())
+        self.assertEqual(self.engine.attach(), 1)  # the last notice that was read
+        self.assertEqual(old.next(), ("END",))
+        self.assertEqual(self.report().split(), before)
+        link.say(f"{ident} DATA 3", b"old")  # a call on its way ends where it was placed
+        self.assertEqual(self.engine.next()[:2], ("FEED", ident))
+        again = dispatcher.call("card")
+        self.assertEqual(self.engine.next()[:2], ("RUN", again))
+        self.engine.number = 1
+        self.engine.need(again)
+        self.assertEqual(self.catalogue_link().next()[:2], ("FETCH", again))
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+
+    def test_a_configuration_that_cant_be_used_changes_nothing(self):
+        self.begin()
+        for told in ("{", "[]", self.told(engine="nowhere"), self.told(settings={**TOLD, "classes": []})):
+            self.reload(told)
+            self.log("not taken")
+        self.engine.done(self.dispatcher().call() and self.engine.next()[1])
+
+    def test_a_hangup_before_the_engine_is_up_and_in_a_drain_ends_nothing(self):
+        self.begin(attach=False)
+        self.replace_parties()
+        self.reload(self.told())
+        self.engine.attach()
+        self.log("the engine is up")
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+        self.process.send_signal(signal.SIGTERM)
+        self.log("told to leave")
+        self.replace_parties()
+        self.reload(self.told())
+        self.engine.attach()
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+        dispatcher.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+
 class EngineLinkStories(NodeStory):
     def test_a_lost_link_is_taken_up_with_nothing_lost_or_run_again(self):
         self.begin()
@@ -297,6 +447,36 @@
         self.engine.done(unread)
         self.assertEqual(dispatcher.answer()[:2], (2, b"ok"))
 
+    def test_a_command_just_before_a_break_is_sent_again_though_gauges_came_back_after_it(self):
+        # A break takes the youngest commands with it, also those that the engine had read.
+        dispatcher, ident = self.running()
+        dispatcher.send("CHECK", "9", "")
+        self.assertEqual(dispatcher.answer()[0], 9)
+        self.engine.lose()
+        self.engine.attach()
+        self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+        self.engine.done(ident)
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+
+    def test_a_run_that_may_be_lost_and_may_not_run_twice_is_settled_after_its_answer(self):
+        # It was counted as running for ever: four of them, and a node of four cores ran nothing more.
+        self.begin()
+        dispatcher = self.dispatcher()
+        idents = [dispatcher.call("pay", timeout=2500) for _ in range(4)]
+        for _ in idents:
+            self.engine.next()
+        self.engine.lose()
+        self.engine.attach()
+        self.assertEqual([dispatcher.answer()[1] for _ in idents], [b"fault"] * 4)
+        asked = [self.engine.next()[:2] for _ in range(8)]
+        self.assertEqual({each for each in asked if each[0] == "HALT"}, {("HALT", ident) for ident in idents})
+        for verb, ident in asked:
+            if verb == "RUN":
+                self.engine.done(ident, "nothing", b"")
+        dispatcher = self.dispatcher()
+        self.engine.done(dispatcher.call() and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[1], b"ok")
+
     def test_a_line_of_the_engine_that_cant_be_read_makes_the_link_anew(self):
         dispatcher, ident = self.running("pay")
         self.engine.say("DONE what is this")
