Place a call again where only its link broke; say a line of the log once a second

A call that broke with its link is placed again where the exchange is repeatable; what was denied or ran out of time below is left out as before, so an overloaded tier gets no more.

Tried and undone: a leaving node that listened until 0.6 s before its stop and denied with half a second of return time.

--- a/oakkeel/log.py
+++ b/oakkeel/log.py
@@ -13,6 +13,7 @@
     def __init__(self, name: str, lines_per_s: int) -> None:
         self.name, self.most = name, lines_per_s
         self.second = self.lines = self.dropped = 0
+        self.said: set[str] = set()  # in this second: a flood of one line must not drown the others
 
     def say(self, text: str) -> None:
         second = time.monotonic_ns() // 1_000_000_000
@@ -20,10 +21,12 @@
             if self.dropped:
                 self._print(f"{self.dropped} more lines left out")
             self.second, self.lines, self.dropped = second, 0, 0
-        self.lines += 1
-        if self.lines > self.most:
+            self.said.clear()
+        if text in self.said or self.lines >= self.most:
             self.dropped += 1
             return
+        self.lines += 1
+        self.said.add(text)
         self._print(text)
 
     def _print(self, text: str) -> None:
--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -482,8 +482,9 @@
         self.calls_failed += 1
         ex.calls_failed += 1
         self._move(ex, State.AT_CALL)
-        never_ran = outcome in (Outcome.DENIED, Outcome.UNREACHED, Outcome.MOOT)
-        if ex.calls_failed < CALL_TRIES and (never_ran or not ex.group.once) and not ex.group.skip_share:
+        broke = outcome in (Outcome.UNREACHED, Outcome.RESET)   # its link did: what lies below is not full
+        may = not ex.group.once or outcome in (Outcome.DENIED, Outcome.UNREACHED, Outcome.MOOT)  # never ran
+        if ex.calls_failed < CALL_TRIES and may and (broke or not ex.group.skip_share):
             self._try_call(ex)
         elif ex.group.skip_share:
             self._leave_out(ex)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -133,6 +133,15 @@
             host.call_done(ex, outcome)
             self.assertEqual(host.words(ex).count("call"), calls)
 
+    def test_a_call_that_could_be_left_out_is_placed_again_where_only_its_link_broke(self):
+        for outcome, word in ((Outcome.RESET, "call"), (Outcome.UNREACHED, "call"),
+                              (Outcome.DENIED, "leave_out"), (Outcome.GIVEN_UP, "leave_out")):
+            host = FakeHost(groups=[{"skip_share": 0.5}], below=Below.TIER)
+            ex = host.arrive()
+            host.at_call(ex)
+            host.call_done(ex, outcome)
+            self.assertEqual(host.words(ex)[2:], [word])
+
     def test_fresh_reads_are_shared(self):
         host = FakeHost(fresh=SECOND)
         host.arrive(has_key=True)
