--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -30,7 +30,9 @@
     patience: int = 3600 * SECOND  # that a caller may wait
     faults: int = 8  # exchanges on one connection that can't be read or that the engine does not know
     unread_share: float = 0.2  # of the memory, for answers that dispatchers leave unread
-    read_pause: int = 5 * MS  # from one read of a connection to its next: its share of the loop
+    read_pause: int = 5 * MS  # from one read of a connection to its next
+    read_share: int = 20  # times the CPU that parsing took, before it is read again: its share of the loop
+    young: int = 50 * MS  # since its accept: what it sent may not be read yet
     sweep: int = 250 * MS  # between looks at what connections leave undone
     silent: int = 2 * SECOND  # from the accept to the first whole array, and from an array's start to its end
     broken: int = 2 * SECOND  # for what is open on a connection that can't be read any further
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -51,11 +51,14 @@
             while True:
                 read_at = time.monotonic_ns()
                 await self.intake.fill(self.stream)
+                spent = -time.thread_time_ns()
                 self._parse()
+                spent += time.thread_time_ns()
                 # One that leaves its answers unread gets no more of them until it has taken some.
                 await self._until(lambda: self.unread <= self.bounds.unread)
                 # One that always has more to say must not keep the loop: a done future does not yield.
-                pause = read_at + self.bounds.read_pause - time.monotonic_ns()
+                pause = max(read_at + self.bounds.read_pause - time.monotonic_ns(),
+                            spent * self.bounds.read_share)
                 await asyncio.sleep(max(0, pause) / SECOND)
         except Malformed as error:
             self.log.say(f"a dispatcher's connection can't be read: {error}")
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -23,7 +23,7 @@
         self.pool, self.bounds, self.front, self.log = pool, bounds, front, log
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task] = set()
-        self.silent: dict[Connection, None] = {}  # no exchange came on them, the longest unheard first
+        self.silent: dict[Connection, int] = {}  # no exchange came on them: when last heard, the longest first
         self.idle: dict[Connection, int] = {}  # since when nothing is open on it, the longest first
         self.idle_after = 0  # 0: idle connections stay
         self.idle_timer: asyncio.TimerHandle | None = None
@@ -56,7 +56,7 @@
                           read_chunk_size=self.bounds.buffer_size)
         connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._heard)
         self.connections.add(connection)
-        self.silent[connection] = None
+        self.silent[connection] = time.monotonic_ns()
         task = asyncio.ensure_future(self._serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -64,13 +64,14 @@
     def _make_room(self) -> bool:
         """End the connection that said nothing for longest, or else the one idle for longest."""
         self.log.say("no descriptors left: a connection that is not at work makes room")
-        for waiting in (self.silent, self.idle):
-            if waiting:
-                connection = next(iter(waiting))
-                connection.close()
-                self._forget(connection)
-                return True
-        return False
+        silent, idle = next(iter(self.silent), None), next(iter(self.idle), None)
+        young = silent and time.monotonic_ns() - self.silent[silent] < self.bounds.young
+        connection = idle if idle and young else silent or idle
+        if connection is None:
+            return False
+        connection.close()
+        self._forget(connection)
+        return True
 
     def _forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
@@ -117,7 +118,7 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         if not connection.worked:
-            self.silent[connection] = None  # it is checked only: no exchange pays for its place
+            self.silent[connection] = time.monotonic_ns()  # it is checked only: no exchange pays for its place
         elif not connection.open:
             self.idle[connection] = time.monotonic_ns()
             if self.idle_timer is None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,6 +9,7 @@
 from oakkeel.bounds import MS, SECOND, Bounds
 from oakkeel.catalogue.links import Catalogue
 from oakkeel.directory.reports import Reports
+from oakkeel.dispatch.listener import Listener
 from oakkeel.dispatch.resp import arrays, encode
 from oakkeel.engine.link import EngineLink
 from oakkeel.exchange import LiveExchange, News
@@ -248,6 +249,26 @@
         server.close()
 
 
+class ListenerStories(unittest.TestCase):
+    def test_one_that_has_just_come_is_not_taken_for_one_that_says_nothing(self):
+        # In a flood of silent connections what a dispatcher has just sent is not read yet.
+        class Stand:
+            closed = False
+
+            def close(self):
+                self.closed = True
+
+        listener = Listener(("127.0.0.1", 0), BufferPool(8192, 9), BOUNDS, None, LOG)
+        self.addCleanup(listener.close)
+        old, new, held = Stand(), Stand(), Stand()
+        listener.silent = {old: time.monotonic_ns() - SECOND, new: time.monotonic_ns() + SECOND}
+        listener.idle = {held: 0}
+        for closed in (old, held, new):
+            self.assertTrue(listener._make_room())
+            self.assertTrue(closed.closed)
+        self.assertFalse(listener._make_room())
+
+
 class ReportStories(unittest.IsolatedAsyncioTestCase):
     async def test_a_change_is_told_again_at_once_as_one_report_may_be_lost(self):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as directory:
