--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -23,7 +23,7 @@
         self.pool, self.bounds, self.front, self.log = pool, bounds, front, log
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task] = set()
-        self.silent: dict[Connection, int] = {}  # no exchange came on them: when last heard, the longest first
+        self.silent: dict[Connection, int] = {}  # when those with no exchange were heard, the longest first
         self.idle: dict[Connection, int] = {}  # since when nothing is open on it, the longest first
         self.idle_after = 0  # 0: idle connections stay
         self.idle_timer: asyncio.TimerHandle | None = None
@@ -118,7 +118,7 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         if not connection.worked:
-            self.silent[connection] = time.monotonic_ns()  # it is checked only: no exchange pays for its place
+            self.silent[connection] = time.monotonic_ns()  # it is checked only
         elif not connection.open:
             self.idle[connection] = time.monotonic_ns()
             if self.idle_timer is None:
