Accept a few connections a pass of the loop; count calls in the log by how they end

All that waited to be accepted, 128 at a time, was taken in one pass (dispatch/listener.py, open: Tornado's accept handler). Now 16 are, and the rest comes behind what the working connections have brought.

--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -32,6 +32,7 @@
     unread_share: float = 0.2  # of the memory, for answers that dispatchers leave unread
     read_pause: int = 5 * MS  # from one read of a connection to its next
     read_share: int = 20  # times the CPU that parsing took, before it is read again: its share of the loop
+    accepts: int = 16  # new connections in one pass of the loop
     young: int = 50 * MS  # since its accept: what it sent may not be read yet
     sweep: int = 250 * MS  # between looks at what connections leave undone
     silent: int = 2 * SECOND  # from the accept to the first whole array, and from an array's start to its end
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -6,10 +6,8 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
 
 from tornado.iostream import IOStream
-from tornado.netutil import add_accept_handler
 
 from oakkeel.bounds import SECOND, Bounds
 from oakkeel.dispatch.connection import Connection, Front
@@ -29,7 +27,7 @@
         self.idle_timer: asyncio.TimerHandle | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.emptied = asyncio.Event()  # set whenever a connection ends
-        self.refuse: Callable[[], None] | None = None
+        self.accepting = False
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.setblocking(False)
@@ -37,17 +35,31 @@
         self.socket.listen(1024)
 
     def open(self) -> None:
-        self.refuse = add_accept_handler(self.socket, self._accept)
+        asyncio.get_running_loop().add_reader(self.socket, self._accept_some)
+        self.accepting = True
         self._sweep()
 
     def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran."""
-        if self.refuse:
-            self.refuse()
-            self.refuse = None
+        if self.accepting:
+            asyncio.get_running_loop().remove_reader(self.socket)
+            self.accepting = False
         self.socket.close()
 
-    def _accept(self, accepted: socket.socket, _: object) -> None:
+    def _accept_some(self) -> None:
+        """Accept a few: in a flood of connections the rest waits for the next pass of the loop, behind all
+        that the connections at work have brought by then."""
+        for _ in range(self.bounds.accepts):
+            try:
+                accepted, _ = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:  # reset before it was accepted
+                return self.log.say(f"a connection was not accepted: {error}")
+            accepted.setblocking(False)
+            self._accept(accepted)
+
+    def _accept(self, accepted: socket.socket) -> None:
         if len(self.connections) >= self.bounds.connections and not self._make_room():
             return accepted.close()  # nothing ran on it: better than to wait unseen, until it is too late
         with contextlib.suppress(OSError):  # reset by now: its stream finds out
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/life.py
@@ -52,6 +52,7 @@
                     what, *words = await self._next(ex)
                     if what is News.REPLY:
                         outcome, reply, spent = words
+                        self.measures.count_call(outcome.value)
                         tell(keel.call_done, ex, outcome, spent)
                         if outcome is Outcome.COMPLETED and ex.state is State.RUNNING:
                             engine.feed(ex, reply)
--- a/oakkeel/node/measures.py
+++ b/oakkeel/node/measures.py
@@ -19,6 +19,7 @@
     def _restart(self) -> None:
         self.read = 0
         self.answered: dict[bytes, int] = {}
+        self.calls: dict[str, int] = {}  # by how they ended
         self.late = [0] * (self.STEPS + 1)
         self.latest = self.gauges_missed = 0
         self.cpu, self.since = time.process_time_ns(), time.monotonic_ns()
@@ -30,6 +31,9 @@
     def count(self, word: bytes) -> None:
         self.answered[word] = self.answered.get(word, 0) + 1
 
+    def count_call(self, outcome: str) -> None:
+        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+
     def _late_share(self, share: float) -> int:
         """The milliseconds under which that share of the timers stayed."""
         wanted = share * sum(self.late)
@@ -44,8 +48,10 @@
         with open("/proc/self/statm", encoding="ascii") as file:
             resident = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
         answers = " ".join(f"{word.decode()}={count}" for word, count in sorted(self.answered.items()))
+        calls = ",".join(f"{how.replace(' ', '_')}:{count}" for how, count in sorted(self.calls.items()))
         text = (
-            f"measures: read={self.read} {answers} open={open_exchanges} connections={connections}"
+            f"measures: read={self.read} {answers} calls={calls or 0} open={open_exchanges}"
+            f" connections={connections}"
             f" descriptors={len(os.listdir('/proc/self/fd'))} resident_mb={resident:.1f}"
             f" cpu={(cpu - self.cpu) / max(1, now - self.since):.3f} timers={sum(self.late)}"
             f" late_ms_half<{self._late_share(0.5)} late_ms_99<{self._late_share(0.99)}"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -269,6 +269,24 @@
         self.assertFalse(listener._make_room())
 
 
+class FloodStories(unittest.IsolatedAsyncioTestCase):
+    async def test_a_flood_of_connections_is_accepted_a_few_at_a_time(self):
+        # All that waited were accepted in one pass: 180 ms in which nothing else was read or answered.
+        listener = Listener(("127.0.0.1", 0), BufferPool(8192, 99), BOUNDS, None, LOG)
+        callers = [socket.create_connection(listener.socket.getsockname()) for _ in range(40)]
+        listener.open()
+        seen = []
+        while len(listener.connections) < len(callers):
+            await asyncio.sleep(0)
+            seen.append(len(listener.connections))
+        steps = [after - before for before, after in zip([0, *seen], seen, strict=False)]
+        self.assertLessEqual(max(steps), BOUNDS.accepts)
+        listener.close()
+        for opened in (*listener.connections, *callers):
+            opened.close()
+        await listener.gone()
+
+
 class ReportStories(unittest.IsolatedAsyncioTestCase):
     async def test_a_change_is_told_again_at_once_as_one_report_may_be_lost(self):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as directory:
