Go to the new engine also when told of it while connecting to the old one

Ruled out: the signal's handler and the file, as the log says the configuration was taken. The address is looked at again once connected.

--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -94,7 +94,9 @@
             stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
             intake = Intake(self.pool)
             try:
-                await connect(stream, self.address)
+                await connect(stream, address := self.address)
+                if address != self.address:
+                    raise StreamClosedError  # told of another engine meanwhile: this one would never answer
                 self.stream = stream
                 send(stream, b"ATTACH %d\r\n" % self.heard)
                 parser = LineParser(intake, WITH_BODY, self.bounds.words)
