--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -248,6 +248,30 @@
         await asyncio.wait((serving,))
         server.close()
 
+    async def test_a_link_that_was_just_connecting_when_told_of_another_engine_goes_there(self):
+        # It stayed with the old one, which takes nothing new and would never say how it started.
+        attached = asyncio.Queue()
+
+        async def accepted(reader, writer):
+            attached.put_nowait((writer.get_extra_info("sockname"), await reader.readline()))
+            await reader.read()
+            writer.close()
+
+        old, new = [await asyncio.start_server(accepted, "127.0.0.1", 0) for _ in range(2)]
+        addresses = [server.sockets[0].getsockname() for server in (old, new)]
+        link = EngineLink(addresses[0], BufferPool(8192, 9), BOUNDS, LOG, lambda cold, age: None)
+        serving = asyncio.ensure_future(link.serve())
+        await asyncio.sleep(0)
+        link.move(addresses[1])
+        said = (None, b"")
+        while said[1] != b"ATTACH 0\r\n":
+            said = await asyncio.wait_for(attached.get(), WAIT)
+        self.assertEqual(said[0], addresses[1])
+        serving.cancel()
+        await asyncio.wait((serving,))
+        old.close()
+        new.close()
+
 
 class ListenerStories(unittest.TestCase):
     def test_one_that_has_just_come_is_not_taken_for_one_that_says_nothing(self):
@@ -301,31 +325,6 @@
             self.assertEqual(said, [b"PULSE n3 open"] + [b"PULSE n3 closed"] * 3)
 
 
-    async def test_a_link_that_was_just_connecting_when_told_of_another_engine_goes_there(self):
-        # It stayed with the old one, which takes nothing new and would never say how it started.
-        attached = asyncio.Queue()
-
-        async def accepted(reader, writer):
-            attached.put_nowait((writer.get_extra_info("sockname"), await reader.readline()))
-            await reader.read()
-            writer.close()
-
-        old, new = [await asyncio.start_server(accepted, "127.0.0.1", 0) for _ in range(2)]
-        addresses = [server.sockets[0].getsockname() for server in (old, new)]
-        link = EngineLink(addresses[0], BufferPool(8192, 9), BOUNDS, LOG, lambda cold, age: None)
-        serving = asyncio.ensure_future(link.serve())
-        await asyncio.sleep(0)
-        link.move(addresses[1])
-        said = (None, b"")
-        while said[1] != b"ATTACH 0\r\n":
-            said = await asyncio.wait_for(attached.get(), WAIT)
-        self.assertEqual(said[0], addresses[1])
-        serving.cancel()
-        await asyncio.wait((serving,))
-        old.close()
-        new.close()
-
-
 class KeptStories(unittest.TestCase):
     def test_a_read_is_shared_while_fresh_and_not_after(self):
         kept, first = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s")
