Keep callers away for less where the fleet has few nodes

A probe in the log for each denial: 265 denials of two nodes in 24 s told 143 ms to stay away as a mean, up to 500 ms; with some four dispatchers a node that is a sixth of the time in which nothing could come. Where both nodes had denied, a dispatcher refused by itself while the cores were free. Ruled out: calls (12 of 2,000 out of time), late timers (99 in 100 under 2 ms), memory (0.05 to 0.13 of its bound). At fault: policy.py, _retry_after, whose 500 ms suit fleets with others to go to; the node is told how many they are. Now the time shrinks with the nodes below eight. It is still told at once with the denial.

--- a/oakkeel/policy.py
+++ b/oakkeel/policy.py
@@ -28,7 +28,7 @@
 
 
 # The ladder. A row's n-th figure enters the n-th stage after NORMAL; a stage is left below it less the slack.
-POLL = SECOND
+POLL, POLL_TOKEN = SECOND, 0
 CPU = (0.70, 0.80, 0.85, 0.90, 0.95)        # busy share of the cores
 CPU_SLACK = 0.05
 CPU_QUEUE = (0.0, 0.0, 1.0, 1.0, 3.0)       # a CPU stage acts only while the depth exceeds this
@@ -44,6 +44,7 @@
 LINK_LEAST, LINK_STEP, LINK_STEPS = 10 * MS, 64 * MS, 9     # idle times: the least, and doubled steps
 CALLERS_MOST = 512                          # remembered, those heard last
 RETRY_AFTER, RETRY_LEAST = 500 * MS, 25 * MS    # from a node that is full or reading; that sheds low ranks
+RETRY_PEERS = 8                             # nodes of a fleet from which on all of it is told
 READ_CROWD = 0.75                           # being read, for each core: from there on retries fill it
 RETRIES = 0.1                               # of what is read: from there on the other nodes are full as well
 # How many run: exchanges on the cores for each core, below EXPAND and from it on.
@@ -66,7 +67,6 @@
 DUE_ROOM, STOP_ROOM = 20 * MS, 64 * MS      # an answer leaves this long before it is due; before the stop
 SPAN_FADE = 0.8                             # a second, of a time on the cores that nothing confirms any more
 RING_STEP, RING_SIZE = 500 * MS, 12
-POLL_TOKEN = 0
 
 # Which states may follow each.
 NEXT = {State.READ: {State.DELAYED, State.HELD, State.SHARING, State.OVER},
@@ -309,6 +309,7 @@
     def _retry_after(self) -> int:
         """When to return: soon where only low ranks are shed, as a caller stays away with all that it has."""
         crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores) ** 3
+        crowd *= min(1.0, self.limits.peers / RETRY_PEERS)  # where few could take it, cores idle meanwhile
         return min(int(RETRY_LEAST + (RETRY_AFTER - RETRY_LEAST) * crowd), self.limits.max_retry_after)
 
     def _move(self, ex: Exchange, state: State) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oakkeel.interface import AdviceKind, Below, Effect, Outcome, State, StopKind
+from oakkeel.interface import AdviceKind, Below, Effect, Gauges, Outcome, State, StopKind
 from oakkeel.policy import CALLERS_MOST, MS, SECOND, Stage, climb
 from tests.fake import FakeHost
 
@@ -148,6 +148,22 @@
         self.assertEqual(host.words(host.arrive(has_key=True, repeats=True)), ["share"])
 
 
+class ReturnStories(unittest.TestCase):
+    def test_callers_stay_away_for_less_from_a_node_of_a_small_fleet(self):
+        # With two nodes nobody else takes what stays away: denials told by both left the cores idle.
+        told = {}
+        for peers in (2, 20):
+            host = FakeHost(peers=peers)
+            host.gauges = Gauges(run_queue=50)  # its reading places are full
+            host.run_until(host.now + SECOND)
+            exchanges = [host.arrive() for _ in range(40)]
+            denied = [wish for wish in host.said if wish[0] == "deny"]
+            self.assertTrue(denied and len(denied) < len(exchanges))
+            told[peers] = denied[-1][3]
+        self.assertEqual(told[20], 500 * MS)
+        self.assertLess(told[2], 200 * MS)
+
+
 class DrainStories(unittest.TestCase):
     def test_nothing_that_arrives_after_the_grace_runs_and_all_is_answered_before_the_stop(self):
         host = FakeHost(groups=[{"slo_time": 4 * SECOND}])
