Serve what waits to be accepted when listening ends; refuse gauges that can't be

From reading, each shown by a story that fails without it: a drain closed the listening socket with connections still waiting to be accepted, whose exchanges the machine had taken (dispatch/listener.py, close), so they were lost; they are accepted first now, and denied as after the grace. Gauges that are no numbers went to the decisions as they came (engine/link.py, _stats); they make the link anew.

--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -40,24 +40,29 @@
         self._sweep()
 
     def close(self) -> None:
-        """Take no new connection: a refused one proves to its dispatcher that nothing ran."""
+        """Take no new connection: a refused one proves to its dispatcher that nothing ran. One that waits to
+        be accepted may carry an exchange that was read by the machine, and is owed its answer."""
         if self.accepting:
+            while self._accept_some():
+                pass
             asyncio.get_running_loop().remove_reader(self.socket)
             self.accepting = False
         self.socket.close()
 
-    def _accept_some(self) -> None:
+    def _accept_some(self) -> bool:
         """Accept a few: in a flood of connections the rest waits for the next pass of the loop, behind all
-        that the connections at work have brought by then."""
+        that the connections at work have brought by then. False where none is left."""
         for _ in range(self.bounds.accepts):
             try:
                 accepted, _ = self.socket.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:  # reset before it was accepted
-                return self.log.say(f"a connection was not accepted: {error}")
+                self.log.say(f"a connection was not accepted: {error}")
+                return False
             accepted.setblocking(False)
             self._accept(accepted)
+        return True
 
     def _accept(self, accepted: socket.socket) -> None:
         if len(self.connections) >= self.bounds.connections and not self._make_room():
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -248,6 +248,8 @@
             send(self.stream, b"STAT %s\r\n" % self.barrier)
 
     def _stats(self, tag: bytes, values: list[float]) -> None:
+        if not all(0 <= value < 1e12 for value in values):
+            raise Malformed(f"gauges {values}")  # the decisions would go by them
         now = time.monotonic_ns()
         if tag == self.barrier:
             self.barrier = b""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -294,6 +294,17 @@
 
 
 class FloodStories(unittest.IsolatedAsyncioTestCase):
+    async def test_what_waits_to_be_accepted_when_listening_ends_is_still_served(self):
+        # Its exchange was written to a connection that the machine had taken, and got no answer.
+        listener = Listener(("127.0.0.1", 0), BufferPool(8192, 99), BOUNDS, None, LOG)
+        callers = [socket.create_connection(listener.socket.getsockname()) for _ in range(40)]
+        listener.open()
+        listener.close()
+        self.assertEqual(len(listener.connections), len(callers))
+        for opened in (*listener.connections, *callers):
+            opened.close()
+        await listener.gone()
+
     async def test_a_flood_of_connections_is_accepted_a_few_at_a_time(self):
         # All that waited were accepted in one pass: 180 ms in which nothing else was read or answered.
         listener = Listener(("127.0.0.1", 0), BufferPool(8192, 99), BOUNDS, None, LOG)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -477,6 +477,16 @@
         self.engine.done(dispatcher.call() and self.engine.next()[1])
         self.assertEqual(dispatcher.answer()[1], b"ok")
 
+    def test_gauges_that_cant_be_make_the_link_anew(self):
+        self.begin()
+        self.engine.gauges = "nan 0.0 0.1 -3"
+        self.log("can't be read: gauges")
+        self.engine.gauges = "0.1 0.0 0.1 1.0"
+        self.engine.attach()
+        dispatcher = self.dispatcher()
+        self.engine.done(dispatcher.call() and self.engine.next()[1])
+        self.assertEqual(dispatcher.answer()[:2], (1, b"ok"))
+
     def test_a_line_of_the_engine_that_cant_be_read_makes_the_link_anew(self):
         dispatcher, ident = self.running("pay")
         self.engine.say("DONE what is this")
