--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -93,7 +93,8 @@
         finally:
             self.stream.close()
             self.intake.close()
-            self._watch_partial(True, ended=True)
+            if self.partial:
+                self.partial.cancel()
             # One that was never connected carried nothing; one that broke proves nothing.
             outcome = Outcome.RESET if self.connected else Outcome.UNREACHED
             for call in list(self.calls.values()):
@@ -111,9 +112,9 @@
             raise Malformed("replies that nobody waits for")
         self.leave()
 
-    def _watch_partial(self, taken: bool, ended: bool = False) -> None:
+    def _watch_partial(self, taken: bool) -> None:
         """A reply that began must end soon, or its length was wrong and no other can follow it."""
-        whole = ended or self.intake.start == self.intake.end
+        whole = self.intake.start == self.intake.end
         if self.partial and (whole or taken):
             self.partial.cancel()
             self.partial = None
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -36,7 +36,7 @@
     ex: LiveExchange | None  # None for a mark: the gauges were asked for here
     verb: bytes
     heard: int = 0  # the number of the last notice for the exchange when it was given
-    written: int = 0  # when, 0: not yet
+    written: bool = False
 
     def owed(self) -> bool:
         """Whether it may be sent again on a new link.
@@ -166,7 +166,7 @@
 
     def _write(self, command: Command) -> None:
         if self.stream and send(self.stream, command.line):
-            command.written = time.monotonic_ns()
+            command.written = True
 
     def ask_gauges(self) -> asyncio.Future[list[float]] | None:
         """Ask for the gauges; None while there is no link to ask on."""
@@ -183,7 +183,7 @@
         mark = Command(b"STAT %s\r\n" % tag, None, b"STAT")
         asked = Asked(asyncio.get_running_loop().create_future(), mark, now)
         self.asked[tag] = asked
-        self._send(asked.mark)
+        self._send(mark)
         return asked.future
 
     def _settle_doubts(self, now: int) -> None:
