Add the record that agents agree on: Raft with a life for each file, free of I/O

Change: record/ (keeper, leading, log, words, disk, pace; kept is its SQLite file). Each call returns what must be on disk before anything else of it.

--- /dev/null
+++ b/oakkeel/record/kept.py
@@ -0,0 +1,79 @@
+"""A keeper's file: what `Keep` says, in one SQLite transaction."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+
+from oakkeel.record.keeper import Durable, Keep
+from oakkeel.record.log import Snapshot
+from oakkeel.record.words import Entry, encode_members, read_members
+from oakkeel.store.durable import Statement, Store
+
+VERSION = 1
+MOST_BYTES = 256 * 1024 * 1024
+SCHEMA = """
+CREATE TABLE head (one INTEGER PRIMARY KEY CHECK (one = 1), name TEXT, life TEXT, epoch TEXT, term INTEGER,
+    voted TEXT, marks TEXT);
+CREATE TABLE entries (place INTEGER PRIMARY KEY, term INTEGER, kind INTEGER, content BLOB);
+CREATE TABLE snapshot (one INTEGER PRIMARY KEY CHECK (one = 1), place INTEGER, term INTEGER, members BLOB,
+    content BLOB)
+"""
+PUT_HEAD = "INSERT OR REPLACE INTO head VALUES (1,?,?,?,?,?,?)"
+PUT_ENTRY = "INSERT OR REPLACE INTO entries VALUES (?,?,?,?)"
+PUT_SNAPSHOT = "INSERT OR REPLACE INTO snapshot VALUES (1,?,?,?,?)"
+
+
+def statements(durable: Durable, keep: Keep) -> list[Statement]:
+    """In the order that `Keep` asks for."""
+    rows: list[Statement] = []
+    if keep.head:
+        rows.append((PUT_HEAD, (durable.name, durable.life, durable.epoch, durable.term, durable.voted,
+                                json.dumps(durable.marks))))
+    if keep.snapshot and keep.whole:
+        rows.append(("DELETE FROM entries", ()))
+    if keep.cut:
+        rows.append(("DELETE FROM entries WHERE place >= ?", (keep.cut,)))
+    rows += [(PUT_ENTRY, (index, entry.term, entry.kind, entry.content)) for index, entry in keep.entries]
+    if snapshot := keep.snapshot:
+        rows.append((PUT_SNAPSHOT, (snapshot.index, snapshot.term, encode_members(list(snapshot.members)),
+                                    snapshot.content)))
+        rows.append(("DELETE FROM entries WHERE place <= ?", (snapshot.index,)))
+    return rows
+
+
+def write(store: Store, durable: Durable, keep: Keep) -> None:
+    """On disk once it returns. Raises StoreError: nothing of it is then."""
+    store.write(statements(durable, keep))
+
+
+def load(store: Store, name: str, new_life: str) -> Durable:
+    """What a keeper finds when it starts; an empty file begins a new life. Raises StoreError."""
+    rows = store.read("SELECT name, life, epoch, term, voted, marks FROM head")
+    if not rows:
+        durable = Durable(name, new_life)
+        write(store, durable, Keep(head=True))
+        return durable
+    held, life, epoch, term, voted, marks = rows[0]
+    durable = Durable(held, life, epoch, term, voted,
+                      marks={key: (value[0], value[1]) for key, value in json.loads(marks).items()})
+    for place, of_term, members, content in store.read("SELECT place, term, members, content FROM snapshot"):
+        durable.snapshot = Snapshot(place, of_term, tuple(read_members(members)), content)
+    durable.entries = [Entry(*row) for row in store.read(
+        "SELECT term, kind, content FROM entries ORDER BY place")]
+    return durable
+
+
+def check(durable: Durable) -> str:
+    """Why what is held can't be one file's content; empty where it can. Damage that no page sum shows."""
+    terms = [durable.snapshot.term, *(entry.term for entry in durable.entries)]
+    if terms != sorted(terms) or terms[-1] > durable.term:
+        return "terms that go back"
+    try:
+        for entry in durable.entries:
+            if entry.kind == 1:
+                read_members(entry.content)
+    except msgspec.MsgspecError as error:
+        return f"members that can't be read: {error}"
+    return ""
--- /dev/null
+++ b/oakkeel/record/leading.py
@@ -0,0 +1,202 @@
+"""What a leader does for its term: who has kept what, what is agreed, its lease, who should be a member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from oakkeel.record.log import Log
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import MOST_BATCH, Append, Appended, Member, Piece, Taken, Word, encode_members
+
+NEVER = 1 << 62
+
+
+class Led(Protocol):
+    """What it needs of the keeper that leads."""
+
+    life: str
+    log: Log
+    pace: Pace
+    commit: int
+    hellos: dict[str, tuple[str, int, bool]]
+
+    @property
+    def term(self) -> int: ...
+    @property
+    def members(self) -> tuple[Member, ...]: ...
+    def wanted(self) -> tuple[str, ...]: ...
+    def send(self, name: str, word: Word) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another member, as far as its answers tell."""
+
+    name: str
+    next: int  # index to send from
+    match: int = 0  # it is known to have kept all up to there
+    sent_at: int = -NEVER
+    waiting: bool = False  # entries were sent, and no answer came
+    heard: int = -NEVER  # the latest of our sendings that it answered, by our clock
+    piece: int = 0  # of the snapshot that is being sent: offset
+    behind: bool = False  # beyond what the log holds: it gets the snapshot
+
+
+class Leading:
+    def __init__(self, now: int, keeper: Led) -> None:
+        self.keeper, self.began = keeper, now
+        self.first = keeper.log.last + 1  # of its own term
+        self.peers: dict[str, Peer] = {}  # by life
+        self._follow_members(now)
+
+    def _follow_members(self, now: int) -> None:
+        keeper, known = self.keeper, self.peers
+        self.peers = {each.life: known.get(each.life) or Peer(each.name, keeper.log.last + 1, heard=now)
+                      for each in keeper.members if each.life != keeper.life}
+
+    def ready(self, commit: int) -> bool:
+        """Whether something of its own term is agreed: before, it does not know all that is."""
+        return commit >= self.first
+
+    def _quorum(self, values: list[int]) -> int:
+        """What a majority of the voters has reached, given what each has."""
+        return sorted(values, reverse=True)[len(values) // 2]
+
+    def agreed(self, commit: int) -> int:
+        keeper = self.keeper
+        voters = [each for each in keeper.members if each.votes]
+        if not voters:
+            return commit
+        index = self._quorum([keeper.log.last if each.life == keeper.life else self.peers[each.life].match
+                              for each in voters])
+        return index if index > commit and keeper.log.term_at(index) == keeper.term else commit
+
+    # Lease.
+
+    def _reached(self, now: int) -> int:
+        """The latest time at which a majority was still sent what it then answered."""
+        voters = [each for each in self.keeper.members if each.votes]
+        return self._quorum([now if each.life == self.keeper.life else self.peers[each.life].heard
+                             for each in voters]) if voters else now
+
+    def lease_until(self, now: int) -> int:
+        return self._reached(now) + self.keeper.pace.lease
+
+    def lost(self, now: int) -> bool:
+        """A majority is silent for longer than anybody waits for a leader."""
+        return now - max(self.began, self._reached(now)) > self.keeper.pace.most
+
+    # Sending.
+
+    def next_at(self) -> int:
+        beat = self.keeper.pace.beat
+        return min((peer.sent_at + beat for peer in self.peers.values()), default=NEVER)
+
+    def appended(self, now: int) -> None:
+        if self.keeper.log.members_at == self.keeper.log.last:
+            self._follow_members(now)
+
+    def tick(self, now: int) -> None:
+        for peer in self.peers.values():
+            if now - peer.sent_at >= self.keeper.pace.beat:
+                self._send(now, peer)
+
+    def replicate(self, now: int) -> None:
+        """Send at once what is new, to those from whom nothing is awaited."""
+        for peer in self.peers.values():
+            if not peer.waiting and (peer.next <= self.keeper.log.last or peer.behind):
+                self._send(now, peer)
+
+    def _send(self, now: int, peer: Peer) -> None:
+        keeper, log = self.keeper, self.keeper.log
+        peer.sent_at, term = now, keeper.term
+        if peer.next <= log.snapshot.index:
+            snapshot = log.snapshot
+            if not peer.behind:
+                peer.behind, peer.piece = True, 0
+            peer.waiting = True
+            return keeper.send(peer.name, Piece(
+                term, snapshot.index, snapshot.term, list(snapshot.members), peer.piece,
+                len(snapshot.content), snapshot.content[peer.piece : peer.piece + MOST_BATCH], now))
+        before = peer.next - 1
+        entries = log.after(before)
+        peer.waiting = bool(entries)
+        keeper.send(peer.name, Append(term, before, log.term_at(before), entries, keeper.commit, now,
+                                      self.marks()))
+
+    def marks(self) -> list[tuple[str, int, int]]:
+        """What each member is known to have kept."""
+        log = self.keeper.log
+        return [(self.keeper.life, log.last_term, log.last),
+                *((life, log.term_at(each.match), each.match) for life, each in self.peers.items())]
+
+    # Answers.
+
+    def answered(self, now: int, life: str, word: Appended) -> None:
+        peer = self.peers.get(life)
+        if peer is None or word.sent > now:
+            return
+        peer.heard, peer.waiting = max(peer.heard, word.sent), False
+        if word.good:
+            if word.index <= self.keeper.log.last:
+                peer.match = max(peer.match, word.index)
+                peer.next = peer.match + 1
+        elif word.index >= peer.match:  # else it was sent before a later one that was good
+            peer.next = min(self.keeper.log.last, word.index) + 1
+
+    def taken(self, now: int, life: str, word: Taken) -> None:
+        peer = self.peers.get(life)
+        if peer is None or word.sent > now:
+            return
+        peer.heard, peer.waiting = max(peer.heard, word.sent), False
+        snapshot = self.keeper.log.snapshot
+        if word.index != snapshot.index:
+            peer.behind = False  # a later one has taken its place: from its beginning
+        elif word.offset >= len(snapshot.content):
+            peer.behind, peer.match = False, max(peer.match, word.index)
+            peer.next = peer.match + 1
+        else:
+            peer.piece = word.offset
+
+    # Members.
+
+    def wanted_members(self, now: int) -> bytes:
+        """The next change of members, one voter at a time, if there is one to make and it may be made."""
+        keeper = self.keeper
+        if not self.ready(keeper.commit) or keeper.log.members_at > keeper.commit:
+            return b""
+        change = self._next_change(now)
+        if change is None:
+            return b""
+        # None that a majority of the new ones could not carry by now.
+        voters = [each.life for each in change if each.votes]
+        recent = [life for life in voters if life == keeper.life or life in self.peers
+                  and now - self.peers[life].heard < keeper.pace.most]
+        return encode_members(change) if 2 * len(recent) > len(voters) else b""
+
+    def _next_change(self, now: int) -> list[Member] | None:
+        keeper = self.keeper
+        members = list(keeper.members)
+        wanted = set(keeper.wanted()) or {each.name for each in members}
+        said = {name: (life, fresh) for name, (life, at, fresh) in keeper.hellos.items()
+                if now - at < 5 * keeper.pace.hello}
+        for place, each in enumerate(members):
+            life, fresh = said.get(each.name, (each.life, False))
+            if fresh and life != each.life and each.life != keeper.life:  # its file was lost
+                members[place] = Member(each.name, life, False)
+                return members
+        for each in members:
+            peer = self.peers.get(each.life)
+            if (peer and not each.votes and each.name in wanted and peer.match >= keeper.commit
+                    and now - peer.heard < keeper.pace.least):
+                return [Member(m.name, m.life, m.votes or m is each) for m in members]
+        here = {each.name for each in members}
+        for name in sorted(wanted - here):
+            if name in said:
+                return [*members, Member(name, said[name][0], False)]
+        if wanted <= {each.name for each in members if each.votes}:  # those who come are there first
+            for each in sorted(members, key=lambda each: each.life == keeper.life):
+                if each.name not in wanted:
+                    return [other for other in members if other is not each]
+        return None
--- a/oakkeel/store/durable.py
+++ b/oakkeel/store/durable.py
@@ -33,7 +33,8 @@
             self.set_aside = f"{aside}: {why}"
         try:
             self.base = self._connect()
-            if not self._number("user_version"):
+            self.new = not self._number("user_version")  # nothing was there, or it was put away
+            if self.new:
                 self.base.executescript(
                     f"BEGIN; {schema}; PRAGMA application_id = {APPLICATION};"
                     f" PRAGMA user_version = {version}; COMMIT;")
