Add places: what may be out, granted by the record for a time under a rising fence

Change: places/ (layout, ledger, granting, holding, steward, words), free of I/O. Orders over hosts, all or nothing, halt, cancel; generations in blocks; leases.

--- /dev/null
+++ b/oakkeel/places/holding.py
@@ -0,0 +1,117 @@
+"""The part of an agent: what it may begin, under which place, and what it tells of it. Free of I/O.
+
+A place is good from when it was asked about, by the agent's own clock: whatever delayed the answer is taken
+off. A fence that is lower than one that was seen is never obeyed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from oakkeel.places.words import Agreed, OrderTold, PartTold, Poll, ThingTold
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A place that this agent knows of."""
+
+    thing: str
+    ident: str
+    fence: int
+    until: int  # it may be begun before then, by the agent's monotonic clock
+    begun: bool = False
+    back: bool = False  # what was taken out serves again
+    given: bool = False  # it will not be begun
+
+
+class Holding:
+    """`changed` names the things whose fence or place is to be kept on disk before anything is done by it."""
+
+    def __init__(self, host: str, things: tuple[str, ...], life: int) -> None:
+        self.host, self.things, self.life = host, things, life
+        self.epoch = ""
+        self.count = self.heard = 0
+        self.told = False  # an answer was taken since the start
+        self.places: dict[str, Held] = {}
+        self.floors: dict[str, int] = {}  # by thing: the highest fence that was seen
+        self.generations: dict[str, int] = {}  # may be used up to there
+        self.orders: dict[str, OrderTold] = {}  # that concern this host and are open, or hold a place
+        self.changed: set[str] = set()
+        self.why = ""  # the last answer was not taken
+
+    def restore(self, epoch: str, rows: list[tuple[str, int, str, bool]],
+                generations: dict[str, int]) -> None:
+        """What was kept: thing, fence, order, and whether it was begun; generations that may be used."""
+        self.epoch, self.generations = epoch, dict(generations)
+        for thing, fence, ident, begun in rows:
+            self.floors[thing] = fence
+            if begun:
+                self.places[thing] = Held(thing, ident, fence, 0, True)
+
+    def poll(self, now: int, up: dict[str, bool], ended: list[PartTold], reserve: dict[str, int]) -> Poll:
+        self.count += 1
+        things = []
+        for thing in self.things:
+            held, told = self.places.get(thing), ThingTold(thing, up.get(thing, False))
+            if held:
+                told.begun = held.fence if held.begun else 0
+                told.back, told.given = held.back, held.fence if held.given else 0
+            things.append(told)
+        wanted = {thing: number for thing, number in reserve.items()
+                  if number > self.generations.get(thing, 0)}
+        return Poll(self.host, self.life, self.count, self.heard, things, ended, wanted)
+
+    def answered(self, now: int, sent_at: int, answer: Agreed) -> bool:
+        """Whether it holds: one of another record, or older than one that was taken, does not."""
+        if self.epoch and answer.epoch != self.epoch:
+            self.why = f"record {answer.epoch} answers in place of {self.epoch}"
+            return False
+        if answer.index < self.heard:
+            self.why = "an older state than was told before"
+            return False
+        self.epoch, self.heard, self.told, self.why = answer.epoch, answer.index, True, ""
+        self.changed |= {thing for thing, upto in answer.generations.items()
+                         if self.generations.get(thing) != upto}
+        self.generations.update(answer.generations)
+        self.orders = {order.ident: order for order in answer.orders}
+        told = {place.thing: place for place in answer.places if place.thing in self.things}
+        for thing in [thing for thing, held in self.places.items()
+                      if thing not in told or told[thing].fence > held.fence]:
+            del self.places[thing]  # it is over, or lapsed: nothing may be begun by it
+            self.changed.add(thing)
+        for thing, place in told.items():
+            if place.fence < self.floors.get(thing, 0):
+                continue  # an older one than was seen
+            held = self.places.get(thing)
+            if held is None:
+                held = self.places[thing] = Held(thing, place.ident, place.fence, 0, place.out)
+                self.floors[thing] = place.fence
+                self.changed.add(thing)
+            order = self.orders.get(place.ident)
+            held.until = 0 if place.out else sent_at + place.good_for
+            if order is None or order.halted:
+                held.until = 0
+                held.given = not held.begun
+        return True
+
+    def may_begin(self, now: int, thing: str, ident: str) -> bool:
+        held = self.places.get(thing)
+        return bool(held and held.ident == ident and not held.given and (held.begun or now < held.until))
+
+    def begin(self, now: int, thing: str) -> None:
+        """From now on it counts as begun, whatever becomes of it: to be kept before it is done."""
+        held = self.places[thing]
+        if not held.begun:
+            held.begun = True
+            self.changed.add(thing)
+
+    def is_back(self, thing: str) -> None:
+        """What was taken out under it serves, and no order means it any more."""
+        held = self.places.get(thing)
+        if held and held.begun:
+            held.back = True
+
+    def is_out(self, thing: str) -> None:
+        """It left again before the record knew that it was back."""
+        if held := self.places.get(thing):
+            held.back = False
--- /dev/null
+++ b/oakkeel/places/ledger.py
@@ -0,0 +1,343 @@
+"""What is agreed of places, orders, generations and leases. The same on every keeper; free of I/O and time.
+
+The fence of a place or lease is the index of the command that granted it: it only rises, whoever leads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+import msgspec
+
+from oakkeel.places import commands
+from oakkeel.places.layout import Layout, Out
+
+MOST_OPEN, MOST_ORDERS = 256, 1024
+VERBS = ("drain", "stop", "restart")
+HELD = "a place"  # why it is out
+
+
+class Part(msgspec.Struct, array_like=True):
+    """What an order means for one thing. `Ledger._move` alone changes its state."""
+
+    generation: int
+    state: str = "waiting"
+    why: str = ""
+
+
+# Of a part. waiting: for a place; out: begun.
+OPEN = ("waiting", "granted", "out")
+ENDS = {"done", "failed", "refused", "halted", "cancelled", "expired"}
+NEXT = {"waiting": {"granted"} | ENDS, "granted": {"out", "waiting"} | ENDS, "out": ENDS,
+        **{state: set() for state in ENDS}}
+
+
+class Order(msgspec.Struct, array_like=True):
+    ident: str
+    operator: str
+    verb: str
+    unix: int
+    lasts: int
+    whole: bool
+    index: int
+    parts: dict[str, Part]
+    halted: str = ""  # by whom
+    cancelled: str = ""
+
+    @property
+    def open(self) -> bool:
+        return any(part.state in OPEN for part in self.parts.values())
+
+
+class Place(msgspec.Struct, array_like=True):
+    thing: str
+    ident: str  # of the order that it was granted to
+    fence: int
+    out: bool = False  # begun, as far as was told
+
+
+class Lease(msgspec.Struct, array_like=True):
+    holder: str
+    fence: int
+    lasts: int
+
+
+class Held(msgspec.Struct, array_like=True):
+    """All of it, as a snapshot holds it."""
+
+    layout: Layout = Layout()
+    orders: dict[str, Order] = {}
+    places: dict[str, Place] = {}
+    lapsed: dict[str, int] = {}  # by thing: index at which a place on it lapsed last
+    generations: dict[str, int] = {}
+    leases: dict[str, Lease] = {}
+    keepers: list[str] = []
+
+
+class Refusal(msgspec.Struct):
+    """Nothing came of the command."""
+
+    why: str
+
+
+_snapshots = msgspec.msgpack.Decoder(Held)
+
+
+class Ledger:
+    """A machine for `record.keeper`. `applied` is told of each command with its index and result."""
+
+    def __init__(self, applied: Callable[[int, commands.Command, object], None] | None = None) -> None:
+        self.applied = applied
+        self.restore(b"")
+
+    # As the keeper needs it.
+
+    def apply(self, index: int, content: bytes) -> object:
+        try:
+            command = commands.read(content)
+        except msgspec.MsgspecError as error:  # by a version that knows more: the same no everywhere
+            return Refusal(f"no command of this version: {error}")
+        result = self.ACTS[type(command)](self, index, command)
+        self.index = index
+        if self.applied:
+            self.applied(index, command, result)
+        return result
+
+    def fold(self) -> bytes:
+        return msgspec.msgpack.encode(self.held)
+
+    def restore(self, content: bytes) -> None:
+        self.held = _snapshots.decode(content) if content else Held()
+        self.index = 0
+        self._count()
+
+    def keepers(self) -> tuple[str, ...]:
+        return tuple(self.held.keepers)
+
+    # Reckoning.
+
+    def _count(self) -> None:
+        """What is out by places alone: no grant may pass a bound even if nothing else were known."""
+        self.out = Out(self.held.layout)
+        for thing in self.held.places:
+            self.out.put(thing, HELD)
+
+    # Commands.
+
+    def _lay(self, index: int, command: commands.Lay) -> object:
+        self.held.layout = command.layout
+        self._count()
+        return None
+
+    def _order(self, index: int, command: commands.Order) -> object:
+        held = self.held
+        if known := held.orders.get(command.ident):
+            asked = {name: part.generation for name, part in known.parts.items()}
+            same = (known.operator, known.verb, asked) == (command.operator, command.verb,
+                                                           dict(command.things))
+            return known if same else Refusal(f"that id is of another order, by {known.operator}")
+        things = dict(command.things)
+        known_things = {thing for here in held.layout.hosts.values() for thing in here}
+        if not command.ident or len(command.ident) > 64 or not things or len(things) != len(command.things):
+            return Refusal("no id, nothing named, or something twice")
+        if command.verb not in VERBS or len(things) > commands.MOST_THINGS:
+            return Refusal("no such order, or too much at once")
+        if unknown := sorted(set(things) - known_things):
+            return Refusal(f"there is no {unknown[0]}")
+        if sum(order.open for order in held.orders.values()) >= MOST_OPEN:
+            return Refusal(f"{MOST_OPEN} orders are open already")
+        parts = {}
+        for thing, generation in things.items():
+            parts[thing] = part = Part(generation)
+            other = next((each for each in held.orders.values() if thing in each.parts
+                          and each.parts[thing].state in OPEN), None)
+            if other:
+                part.state, part.why = "refused", f"{other.operator}'s {other.verb} {other.ident} stands"
+            elif (place := held.places.get(thing)) and not (command.verb == "restart"
+                                                            or self._comes_back(place)):
+                part.state, part.why = "refused", f"it is out already, by {place.ident}"
+        if command.whole and any(part.state == "refused" for part in parts.values()):
+            for part in parts.values():
+                if part.state != "refused":
+                    part.state, part.why = "refused", "not all of it can be taken"
+        order = Order(command.ident, command.operator, command.verb, command.unix, command.lasts,
+                      command.whole, index, parts)
+        if order.open:
+            held.orders[order.ident] = order
+            self._forget()
+        return order
+
+    def _forget(self) -> None:
+        orders = self.held.orders
+        placed = {place.ident for place in self.held.places.values()}
+        for ident, order in list(orders.items()):
+            if len(orders) <= MOST_ORDERS:
+                break
+            if not order.open and ident not in placed:
+                del orders[ident]
+
+    def _halt(self, index: int, command: commands.Halt) -> object:
+        order = self.held.orders.get(command.ident)
+        if order is None:
+            return Refusal("no such order")
+        order.halted = order.halted or command.operator
+        self._end_waiting(order, "halted", f"by {command.operator}")
+        return order
+
+    def _cancel(self, index: int, command: commands.Cancel) -> object:
+        order = self.held.orders.get(command.ident)
+        if order is None:
+            return Refusal("no such order")
+        order.cancelled = order.cancelled or command.operator
+        order.halted = order.halted or command.operator
+        self._end_waiting(order, "cancelled", f"by {command.operator}")
+        return order
+
+    def _end_waiting(self, order: Order, state: str, why: str) -> None:
+        for part in order.parts.values():
+            if part.state == "waiting":
+                self._move(part, state, why)
+
+    def _grant(self, index: int, command: commands.Grant) -> object:
+        held, order = self.held, self.held.orders.get(command.ident)
+        if order is None or order.halted:
+            return Refusal("no such order, or it is halted")
+        for thing in command.things:
+            part = order.parts.get(thing)
+            if part is None or part.state != "waiting":
+                return Refusal(f"{thing} does not wait for a place")
+            if why := self.taken(thing, order.ident):
+                return Refusal(why)
+        if why := self.out.against(command.things):
+            return Refusal(why)
+        for thing in command.things:
+            held.places[thing] = Place(thing, order.ident, index)
+            self.out.put(thing, HELD)
+            self._move(order.parts[thing], "granted", "")
+        return index
+
+    def taken(self, thing: str, ident: str) -> str:
+        """Why an order can't have a place on it by now; empty where it can, as one on what is out already."""
+        place = self.held.places.get(thing)
+        if place and (place.ident == ident or not place.out or self._comes_back(place)):
+            return f"{thing} has a place by {place.ident}"
+        return ""
+
+    def _comes_back(self, place: Place) -> bool:
+        order = self.held.orders.get(place.ident)
+        return bool(order and order.cancelled)
+
+    def _place(self, thing: str, fence: int) -> Place | None:
+        place = self.held.places.get(thing)
+        return place if place and place.fence == fence else None
+
+    def _began(self, index: int, command: commands.Began) -> object:
+        if place := self._place(command.thing, command.fence):
+            place.out = True
+            self._move_placed(place, "out", "")
+            return index
+        return Refusal("no such place")
+
+    def _over(self, index: int, command: commands.Over) -> object:
+        place = self._place(command.thing, command.fence)
+        if place is None:
+            return Refusal("no such place")
+        order = self.held.orders.get(place.ident)
+        part = order.parts[place.thing] if order else None
+        if order and part and part.state in OPEN:
+            if place.out:
+                back = order.cancelled and order.verb != "restart"
+                self._move(part, "cancelled" if back else "done" if order.verb == "restart" else "failed",
+                           f"by {order.cancelled}" if back else "" if order.verb == "restart"
+                           else "it was started again")
+            elif order.halted:
+                self._move(part, "cancelled" if order.cancelled else "halted", f"by {order.halted}")
+            else:
+                self._move(part, "waiting", "its place was given back")
+        self._free(place)
+        return index
+
+    def _lapse(self, index: int, command: commands.Lapse) -> object:
+        place = self._place(command.thing, command.fence)
+        if place is None or place.out:
+            return Refusal("no such place, or it was begun")
+        order = self.held.orders.get(place.ident)
+        halted = order and order.halted
+        self._move_placed(place, "halted" if halted else "waiting", "its agent was not heard in time")
+        self.held.lapsed[place.thing] = index
+        self._free(place)
+        return index
+
+    def _free(self, place: Place) -> None:
+        del self.held.places[place.thing]
+        self.out.take(place.thing, HELD)
+
+    def _ended(self, index: int, command: commands.Ended) -> object:
+        order = self.held.orders.get(command.ident)
+        part = order.parts.get(command.thing) if order else None
+        if order is None or part is None or part.state not in OPEN or command.how not in ENDS:
+            return Refusal("nothing of that is open")
+        self._move(part, command.how, command.why)
+        if command.how == "refused" and order.whole and not any(
+                each.state in ("out", "done") for each in order.parts.values()):
+            order.halted = order.halted or order.operator
+            self._end_waiting(order, "refused", f"not all of it can be taken: {command.thing} {command.why}")
+        return index
+
+    def _expire(self, index: int, command: commands.Expire) -> object:
+        if order := self.held.orders.get(command.ident):
+            order.halted = order.halted or "its time"
+            self._end_waiting(order, "expired", "no room in its time")
+            return index
+        return Refusal("no such order")
+
+    def _reserve(self, index: int, command: commands.Reserve) -> object:
+        """Only up: what was once reserved may have been used."""
+        generations = self.held.generations
+        for thing, upto in command.upto.items():
+            generations[thing] = max(upto, generations.get(thing, 0))
+        return index
+
+    def _keepers(self, index: int, command: commands.Keepers) -> object:
+        if not command.names or len(set(command.names)) != len(command.names) or len(command.names) > 9:
+            return Refusal("one to nine keepers, each once")
+        self.held.keepers = list(command.names)
+        return index
+
+    def _hold(self, index: int, command: commands.Hold) -> object:
+        lease = self.held.leases.get(command.name)
+        if lease and lease.holder != command.holder:
+            return Refusal(f"{lease.holder} holds it")
+        if len(self.held.leases) >= MOST_OPEN and lease is None:
+            return Refusal("too many leases")
+        self.held.leases[command.name] = Lease(command.holder, index, command.lasts)
+        return index
+
+    def _release(self, index: int, command: commands.Release) -> object:
+        lease = self.held.leases.get(command.name)
+        if lease is None or lease.fence != command.fence:
+            return Refusal("no such lease")
+        del self.held.leases[command.name]
+        return index
+
+    # States.
+
+    def _move_placed(self, place: Place, state: str, why: str) -> None:
+        order = self.held.orders.get(place.ident)
+        if order and order.parts[place.thing].state in OPEN:
+            self._move(order.parts[place.thing], state, why)
+
+    def _move(self, part: Part, state: str, why: str) -> None:
+        """The one place where the state of a part changes."""
+        if state == part.state:
+            return
+        if state not in NEXT[part.state]:
+            raise RuntimeError(f"{part.state} to {state}")
+        part.state, part.why = state, why
+
+    ACTS: ClassVar[dict[type, Callable[[Any, int, Any], object]]] = {
+        commands.Lay: _lay, commands.Order: _order, commands.Halt: _halt, commands.Cancel: _cancel,
+        commands.Grant: _grant, commands.Began: _began, commands.Over: _over, commands.Lapse: _lapse,
+        commands.Ended: _ended, commands.Expire: _expire, commands.Reserve: _reserve,
+        commands.Keepers: _keepers, commands.Hold: _hold, commands.Release: _release}
--- /dev/null
+++ b/oakkeel/places/steward.py
@@ -0,0 +1,100 @@
+"""A keeper of the record with the ledger in it, and what it does for places while it leads. Free of I/O.
+
+Whoever carries out its steps writes each one's `keep` before anything else of it, in their order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from oakkeel.places import commands
+from oakkeel.places.granting import Granting, Terms
+from oakkeel.places.layout import Layout
+from oakkeel.places.ledger import Ledger
+from oakkeel.places.words import Agreed, Poll
+from oakkeel.record.keeper import Durable, Fate, Keeper, NotLeading, Proposal, Steps
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import Letter
+
+
+class Steward:
+    def __init__(self, now: int, held: Durable, seed: int, pace: Pace, founders: tuple[str, ...],
+                 layout: Layout, terms: Terms | None = None) -> None:
+        """`layout` is by this host's settings: it holds once a leader of the same settings has agreed it."""
+        self.now, self.layout, self.terms = now, layout, terms or Terms()
+        self.ledger = Ledger(self._applied)
+        self.granting: Granting | None = None
+        self.watched: Callable[[int, commands.Command, object], None] | None = None  # told of what is agreed
+        self.ours: dict[Proposal, commands.Command] = {}  # proposed by `granting`
+        self.keeper = Keeper(now, held, self.ledger, seed, pace, founders)
+
+    def tick(self, now: int) -> list[Steps]:
+        return self._after(now, [self.keeper.tick(now)])
+
+    def heard(self, now: int, letter: Letter) -> list[Steps]:
+        self.now = now
+        return self._after(now, [self.keeper.heard(now, letter)])
+
+    def polled(self, now: int, poll: Poll) -> tuple[Agreed, list[Steps]]:
+        """An agent's report and what it is told. Raises NotLeading."""
+        granting = self._leads(now)
+        steps = self._propose(now, granting.heard(now, poll))
+        answer = granting.answer(now, self.keeper.durable.epoch, poll.host)
+        answer.keepers = sorted({*self.ledger.keepers(), *(each.name for each in self.keeper.members)})
+        return answer, self._after(now, steps)
+
+    def propose(self, now: int, command: commands.Command) -> tuple[Proposal, list[Steps]]:
+        """Raises NotLeading."""
+        self.now = now
+        self._leads(now)
+        proposal, steps = self.keeper.propose(now, commands.encode(command))
+        return proposal, self._after(now, [steps])
+
+    def _leads(self, now: int) -> Granting:
+        if self.granting is None or not self.keeper.leads(now):
+            raise NotLeading(self.keeper.leader if self.keeper.leader != self.keeper.name else "")
+        return self.granting
+
+    def _after(self, now: int, steps: list[Steps]) -> list[Steps]:
+        """Begin, go on with or end what a leader does."""
+        self.now = now
+        for each in list(steps):
+            for proposal in each.ended:
+                command = self.ours.pop(proposal, None)
+                if command and proposal.fate is not Fate.AGREED and self.granting:
+                    self.granting.lost(command)
+        if not self.keeper.leads(now):
+            if self.keeper.leading is None:
+                self.granting = None
+                self.ours.clear()
+            return steps
+        if self.granting is None:
+            self.granting = Granting(now, self.ledger, self.terms)
+            if self.ledger.held.layout != self.layout:
+                steps += self._propose(now, [commands.Lay(self.layout)])
+        while self.granting and (wanted := self.granting.tick(now)):
+            more = self._propose(now, wanted)
+            if not more:
+                break
+            steps += more
+        return steps
+
+    def _propose(self, now: int, wanted: list[commands.Command]) -> list[Steps]:
+        self.now, done = now, []
+        for command in wanted:
+            try:
+                proposal, steps = self.keeper.propose(now, commands.encode(command))
+            except NotLeading:
+                if self.granting:
+                    self.granting.lost(command)
+                continue
+            if proposal.fate is Fate.WAITING:
+                self.ours[proposal] = command
+            done.append(steps)
+        return done
+
+    def _applied(self, index: int, command: commands.Command, result: object) -> None:
+        if self.watched:
+            self.watched(index, command, result)
+        if self.granting:
+            self.granting.applied(self.now, index, command, result)
--- /dev/null
+++ b/oakkeel/places/words.py
@@ -0,0 +1,64 @@
+"""What an agent tells the leader again and again, and what it hears of its own things."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ThingTold(msgspec.Struct, array_like=True):
+    name: str
+    up: bool  # it serves
+    begun: int = 0  # fence of the place under which it was taken out
+    back: bool = False  # and that is over
+    given: int = 0  # fence of a place that will not be used
+
+
+class PartTold(msgspec.Struct, array_like=True):
+    """How a part of an order ended on its host."""
+
+    ident: str
+    thing: str
+    how: str
+    why: str
+
+
+class Poll(msgspec.Struct, array_like=True):
+    host: str
+    life: int  # of the agent's process
+    count: int  # of its polls
+    heard: int  # index of the latest answer that it took
+    things: list[ThingTold]
+    ended: list[PartTold]
+    reserve: dict[str, int]  # generations that it wants to be free to use
+
+
+class PlaceTold(msgspec.Struct, array_like=True):
+    thing: str
+    ident: str
+    fence: int
+    out: bool
+    good_for: int  # nanoseconds in which it may be begun, from when the poll was sent
+
+
+class OrderTold(msgspec.Struct, array_like=True):
+    """An order as far as it concerns the host. Times in nanoseconds."""
+
+    ident: str
+    operator: str
+    verb: str
+    unix: int
+    left: int
+    halted: str
+    cancelled: str
+    parts: list[tuple[str, int, str]]  # thing, generation, state
+
+
+class Agreed(msgspec.Struct, array_like=True):
+    """The answer to a poll."""
+
+    epoch: str
+    index: int
+    places: list[PlaceTold]
+    orders: list[OrderTold]
+    generations: dict[str, int]
+    keepers: list[str] = []  # hosts whose agents keep the record, or shall
