Let a drain told by the control link be taken back; a table of states for the drain

Change: node/drain.py holds the states; SIGTERM stays final. Reports tell by endpoint group what is owed.

--- a/oakkeel/control/client.py
+++ b/oakkeel/control/client.py
@@ -18,6 +18,7 @@
     ClientsTold,
     Leave,
     Report,
+    Stay,
     Told,
     Wish,
     encode,
@@ -45,8 +46,15 @@
             raise ControlError(f"no report: {getattr(answer, 'why', '')}")
         return answer
 
-    async def leave(self, generation: int, timeout: float) -> Told:
-        answer = await self._exchange(Leave(next(self.tags), generation), timeout)
+    async def leave(self, generation: int, timeout: float, within: int = 0) -> Told:
+        """`within`: nanoseconds until it ends, 0 as after a SIGTERM."""
+        return await self._order(Leave(next(self.tags), generation, within), timeout)
+
+    async def stay(self, generation: int, timeout: float) -> Told:
+        return await self._order(Stay(next(self.tags), generation), timeout)
+
+    async def _order(self, wish: Leave | Stay, timeout: float) -> Told:
+        answer = await self._exchange(wish, timeout)
         if not isinstance(answer, Told):
             raise ControlError("a report in place of an answer to an order")
         return answer
--- a/oakkeel/control/listener.py
+++ b/oakkeel/control/listener.py
@@ -20,6 +20,7 @@
     AskClients,
     ClientsTold,
     Report,
+    Stay,
     Told,
     encode,
     read_wish,
@@ -35,7 +36,8 @@
 
     def report(self, tag: int) -> Report: ...
     def clients(self, tag: int, most: int) -> ClientsTold: ...
-    def ordered_to_leave(self, generation: int) -> str: ...  # why not; empty where it leaves
+    def ordered_to_leave(self, generation: int, within: int) -> str: ...  # why not; empty where it leaves
+    def ordered_to_stay(self, generation: int) -> str: ...
 
 
 class ControlListener:
@@ -138,7 +140,9 @@
                 return self.listener.node.report(wish.tag)
             if isinstance(wish, AskClients):
                 return self.listener.node.clients(wish.tag, max(1, min(wish.most, MOST_CLIENTS)))
-            why = self.listener.node.ordered_to_leave(wish.generation)
+            node = self.listener.node
+            why = (node.ordered_to_stay(wish.generation) if isinstance(wish, Stay) else
+                   node.ordered_to_leave(wish.generation, wish.within))
             return Told(wish.tag, not why, why)
         except Exception as error:  # an error of ours answers it, and the node lives on
             self.listener.log.say("a control message failed", error=fault(error))
--- a/oakkeel/control/messages.py
+++ b/oakkeel/control/messages.py
@@ -14,7 +14,15 @@
 
 
 class Leave(msgspec.Struct, tag="leave", forbid_unknown_fields=True):
-    """Drain and end, if the node is of that generation. `Told` comes back."""
+    """Drain and end, if the node is of that generation; `Stay` takes it back. `Told` comes back."""
+
+    tag: int
+    generation: int
+    within: int = 0  # nanoseconds, until the rest is answered and it ends; 0: as after a SIGTERM
+
+
+class Stay(msgspec.Struct, tag="stay", forbid_unknown_fields=True):
+    """Take work again, if the node is of that generation and has not ended. `Told` comes back."""
 
     tag: int
     generation: int
@@ -48,6 +56,7 @@
     connections: int = 0
     gauges_age: int = -1  # -1: none were ever read
     owes: int = 0  # exchanges read and not over
+    owes_by: dict[str, int] = {}  # the same by endpoint group, while it drains
     completed: int = 0  # since its start, as the next two
     denied: int = 0
     terminated: int = 0
@@ -86,7 +95,7 @@
     clients: list[ClientTold] = []
 
 
-Wish = Ask | Leave | AskClients
+Wish = Ask | Leave | Stay | AskClients
 Answer = Report | Told | ClientsTold
 _wishes = msgspec.json.Decoder(Wish)
 _answers = msgspec.json.Decoder(Answer)
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -28,17 +28,14 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.emptied = asyncio.Event()  # set whenever a connection ends
         self.accepting = False
-        self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.setblocking(False)
-        self.socket.bind(address)
-        self.socket.listen(1024)
+        self.socket = _listen(address)
         self.address: tuple[str, int] = self.socket.getsockname()
 
     def open(self) -> None:
         asyncio.get_running_loop().add_reader(self.socket, self._accept_some)
         self.accepting = True
-        self._sweep()
+        if self.sweeper is None:
+            self._sweep()
 
     def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran. One that waits to
@@ -50,6 +47,12 @@
             self.accepting = False
         self.socket.close()
 
+    def reopen(self) -> None:
+        """Take new connections again at the same address. Raises OSError where it is another's by now."""
+        if not self.accepting:
+            self.socket = _listen(self.address)
+            self.open()
+
     def _accept_some(self) -> bool:
         """Accept a few: in a flood of connections the rest waits for the next pass of the loop, behind all
         that the connections at work have brought by then. False where none is left."""
@@ -123,6 +126,7 @@
             await self.emptied.wait()
         if self.sweeper:
             self.sweeper.cancel()
+            self.sweeper = None
 
     # Idle connections.
 
@@ -155,3 +159,16 @@
                 return
             del self.idle[connection]
             connection.leave()
+
+
+def _listen(address: tuple[str, int]) -> socket.socket:
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setblocking(False)
+    try:
+        listening.bind(address)
+    except OSError:
+        listening.close()
+        raise
+    listening.listen(1024)
+    return listening
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -15,7 +15,8 @@
 from oakkeel.engine.link import EngineLink
 from oakkeel.exchange import LiveExchange, News
 from oakkeel.limits import LimitsError
-from oakkeel.log import Log, fault
+from oakkeel.log import Log
+from oakkeel.node.drain import Drain
 from oakkeel.node.host import NodeHost
 from oakkeel.node.kept import KeptExchanges
 from oakkeel.node.life import Lives
@@ -38,7 +39,6 @@
         self.reader: ExchangeReader | None = None
         self.lives: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
         self.done = asyncio.Event()
-        self.draining: asyncio.Task | None = None
         self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
         self.reports = Reports(start.lookup, start.name, bounds)
         self.engine = EngineLink(start.engine, self.pool, bounds, self.log, self._engine_up)
@@ -46,6 +46,7 @@
         self.kept = KeptExchanges(bounds, start.limits.fresh)
         self.host = NodeHost(start, self.engine, self.listener, self.reports, self.kept, self.measures,
                              self.log)
+        self.draining = Drain(self, start.limits.drain_grace, bounds.stop_after)
         self.fairly = None
         if start.limits.fair:
             from oakkeel.node.fairly import FairNode  # it brings libraries that a plain node spares
@@ -138,28 +139,9 @@
     def signal(self) -> float | None:
         return self.host.signal
 
-    # The drain.
-
     def leave(self) -> None:
-        """The notice to leave; a second one changes nothing."""
-        if self.draining is None:
-            self.draining = asyncio.ensure_future(self._drain())
-
-    async def _drain(self) -> None:
-        """End once all that was read is answered and every dispatcher has closed its connections."""
-        self.log.say("told to leave")
-        self.reports.set_taking(False)
-        if self.host.begun:
-            try:
-                self.host.tell(self.host.keel.leave, self.bounds.stop_after)
-            except Exception as error:  # the drain goes on
-                self.log.say("leaving failed", error=fault(error))
-            self.listener.last()
-            await asyncio.sleep(self.start.limits.drain_grace / SECOND)
-        self.listener.close()
-        self.listener.last()
-        await self.listener.gone()  # each ends only when all on it is answered and on its way
-        self.done.set()
+        """The notice to leave for good; a second one changes nothing."""
+        self.draining.leave()
 
     # Measures.
 
--- a/oakkeel/node/controlled.py
+++ b/oakkeel/node/controlled.py
@@ -4,26 +4,24 @@
 
 import os
 import time
-from typing import TYPE_CHECKING
+from collections import Counter
 
 from oakkeel.control.listener import ControlListener
 from oakkeel.control.messages import ClientsTold, Report
 from oakkeel.dispatch import codec
 from oakkeel.interface import State
 from oakkeel.node.measures import descriptors, resident
+from oakkeel.node.whole import Whole
 from oakkeel.policy import Stage
 
-if TYPE_CHECKING:
-    from oakkeel.node.assembly import Node
 
-
-def open_control(node: Node) -> ControlListener:
+def open_control(node: Whole) -> ControlListener:
     """Raises OSError where its socket can't be made."""
     return ControlListener(node.start.control, ControlledNode(node), node.bounds, node.log)
 
 
 class ControlledNode:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Whole) -> None:
         self.node, self.started = node, time.monotonic_ns()
 
     def report(self, tag: int) -> Report:
@@ -47,6 +45,9 @@
             report.hold = keel.count[State.DELAYED] + keel.count[State.HELD]
             report.runs = keel.count[State.RUNNING] + keel.count[State.ORPHANED]
             report.calls = keel.count[State.AT_CALL] + keel.count[State.CALLING]
+        if node.draining:
+            report.owes_by = dict(Counter(ex.group_name.decode(errors="replace") for each in
+                                          node.listener.connections for ex in each.open.values()))
         return report
 
     def clients(self, tag: int, most: int) -> ClientsTold:
@@ -62,8 +63,13 @@
         limits = node.start.limits
         return "cold" if limits.cold and now - node.host.keel.started < limits.cold_time else "serving"
 
-    def ordered_to_leave(self, generation: int) -> str:
+    def ordered_to_leave(self, generation: int, within: int) -> str:
         if generation != self.node.start.generation:
             return f"this is generation {self.node.start.generation}"
-        self.node.leave()
+        self.node.draining.leave(within, final=False)
         return ""
+
+    def ordered_to_stay(self, generation: int) -> str:
+        if generation != self.node.start.generation:
+            return f"this is generation {self.node.start.generation}"
+        return self.node.draining.stay()
--- /dev/null
+++ b/oakkeel/node/drain.py
@@ -0,0 +1,112 @@
+"""The drain of a node: from the notice to leave to its end, or back."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Protocol
+
+from oakkeel.bounds import SECOND
+from oakkeel.directory.reports import Reports
+from oakkeel.dispatch.listener import Listener
+from oakkeel.log import Log, fault
+from oakkeel.node.host import NodeHost
+
+
+class Leaving(Enum):
+    """`Drain._move` alone changes it."""
+
+    NOT = "not"
+    GRACE = "grace"  # new connections are still served
+    EMPTYING = "emptying"  # none are taken; what was read is answered
+    ENDED = "ended"
+
+
+NEXT = {
+    Leaving.NOT: {Leaving.GRACE},
+    Leaving.GRACE: {Leaving.EMPTYING, Leaving.NOT},
+    Leaving.EMPTYING: {Leaving.ENDED, Leaving.NOT},
+    Leaving.ENDED: set(),
+}
+
+
+class Drained(Protocol):
+    """What it needs of the node."""
+
+    listener: Listener
+    reports: Reports
+    host: NodeHost
+    log: Log
+    done: asyncio.Event
+
+
+class Drain:
+    def __init__(self, node: Drained, grace: int, stop_after: int) -> None:
+        """`grace` and `stop_after` in nanoseconds from the notice: what comes later does not run, and what is
+        not answered by then may be killed."""
+        self.node, self.grace, self.stop_after = node, grace, stop_after
+        self.state = Leaving.NOT
+        self.final = False  # told by SIGTERM, which nothing takes back
+        self.task: asyncio.Task | None = None
+
+    def __bool__(self) -> bool:
+        """Whether it goes on, or is over."""
+        return self.state is not Leaving.NOT
+
+    def leave(self, within: int = 0, final: bool = True) -> None:
+        """The notice. `within` nanoseconds until all is answered, 0 as the platform says."""
+        if self.final or self and not final:
+            return  # a second one changes nothing
+        self.final = final
+        if self:  # it may have been given longer
+            return self._tell(self.stop_after)
+        self._move(Leaving.GRACE)
+        self.task = asyncio.ensure_future(self._drain(within or self.stop_after))
+
+    def stay(self) -> str:
+        """Take work again. Returns why it can't; empty where it does."""
+        if not self:
+            return ""
+        if self.final or self.state is Leaving.ENDED:
+            return "it leaves for good" if self.final else "it has ended"
+        node = self.node
+        try:
+            node.listener.reopen()
+        except OSError as error:
+            return f"it can't listen again: {error}"
+        if self.task:
+            self.task.cancel()
+        self._move(Leaving.NOT)
+        self._tell(None)
+        node.reports.set_taking(True)
+        node.log.say("stays")
+        return ""
+
+    async def _drain(self, left: int) -> None:
+        """End once all that was read is answered and every dispatcher has closed its connections."""
+        node = self.node
+        node.log.say("told to leave")
+        node.reports.set_taking(False)
+        if node.host.begun:
+            self._tell(left)
+            node.listener.last()
+            await asyncio.sleep(self.grace / SECOND)
+        self._move(Leaving.EMPTYING)
+        node.listener.close()
+        node.listener.last()
+        await node.listener.gone()  # each ends only when all on it is answered and on its way
+        self._move(Leaving.ENDED)
+        node.done.set()
+
+    def _tell(self, left: int | None) -> None:
+        try:
+            if self.node.host.begun:
+                self.node.host.tell(self.node.host.keel.leave, left)
+        except Exception as error:  # the drain goes on
+            self.node.log.say("leaving failed", error=fault(error))
+
+    def _move(self, state: Leaving) -> None:
+        """The one place where the state changes."""
+        if state not in NEXT[self.state]:
+            raise RuntimeError(f"{self.state.value} to {state.value}")
+        self.state = state
--- a/oakkeel/node/fairly.py
+++ b/oakkeel/node/fairly.py
@@ -5,27 +5,24 @@
 import asyncio
 import os
 import time
-from typing import TYPE_CHECKING
 
 from oakkeel.bounds import SECOND
 from oakkeel.control.messages import ClientsTold, ClientTold
 from oakkeel.dispatch.codec import sender_fields
 from oakkeel.interface import FairRules
+from oakkeel.node.whole import Whole
 from oakkeel.shares import state
 from oakkeel.shares.heavy import Sender
 from oakkeel.shares.keys import SECRET, SenderKeys
 from oakkeel.store import snapshot
 
-if TYPE_CHECKING:
-    from oakkeel.node.assembly import Node
-
 KEEP_EVERY = 5 * SECOND
 
 
 class FairNode:
     """The measures of one node, taken up from its snapshot and kept there."""
 
-    def __init__(self, node: Node, rules: FairRules, path: str) -> None:
+    def __init__(self, node: Whole, rules: FairRules, path: str) -> None:
         """`path` of the snapshot; empty: none is kept."""
         self.node, self.rules, self.path = node, rules, path
         self.found = self._read()
--- a/oakkeel/policy/ladder.py
+++ b/oakkeel/policy/ladder.py
@@ -370,18 +370,18 @@
         self.now = now
         self._abandon(ex)
 
-    def leave(self, now: int, left: int) -> None:
-        """The notice to leave: finish what can be before the stop, answer the rest just before it."""
+    def leave(self, now: int, left: int | None) -> None:
+        """The notice to leave: finish what can be before the stop, answer the rest just before it; None takes
+        it back. A further notice brings the stop forward or puts it off, and never the end of the grace."""
         self.now = now
-        self.grace_end = now + self.limits.drain_grace
-        self.stop_at = now + left
-        self.host.set_health(False, True)
+        self.grace_end = 0 if left is None else self.grace_end or now + self.limits.drain_grace
+        self.stop_at = 0 if left is None else now + left
+        self.host.set_health(left is None, True)
         self._advise()
-        for step in sorted(self.alarms):
-            for ex in self.alarms[step]:
-                if ex.give_up_at > self.stop_at - STOP_ROOM:
-                    ex.give_up_at = self.stop_at - STOP_ROOM
-                    self._alarm(ex, ex.give_up_at)
+        for ex in [ex for step in sorted(self.alarms) for ex in self.alarms[step] if self.stop_at]:
+            if ex.give_up_at > self.stop_at - STOP_ROOM:
+                ex.give_up_at = self.stop_at - STOP_ROOM
+                self._alarm(ex, ex.give_up_at)
 
     def timer(self, now: int, token: int, gauges: Gauges) -> None:
         """The poll of the ladder, or a step of alarms."""
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -270,6 +270,9 @@
 class NodeStory(unittest.TestCase):
     """A story about the program, started as `run` in deploy/balancer.toml does."""
 
+    command: list[str] = [sys.executable, "-m", "oakkeel"]
+    variables: dict[str, str] = {}
+
     def setUp(self) -> None:
         self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
         self.directory = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -302,7 +305,7 @@
         self.addCleanup(os.unlink, file.name)
         self.config = file.name
         given = {"PROXY_CONFIG": file.name} if told is not None else {}
-        self.process = subprocess.Popen([sys.executable, "-m", "oakkeel"], env={**os.environ, **given},
+        self.process = subprocess.Popen(self.command, env={**os.environ, **self.variables, **given},
                                         stderr=subprocess.PIPE, text=True)
         watch = threading.Timer(4 * WAIT, self.process.kill)  # a story that hangs ends, and fails
         watch.start()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,17 +6,20 @@
 import graphlib
 import json
 import os
+import shlex
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+import tomllib
 from unittest import mock
 
 from tests.fake import WAIT, NodeStory
 
 
-class ControlStories(NodeStory):
+class ControlStory(NodeStory):
     def setUp(self) -> None:
         super().setUp()
         self.path = os.path.join(self.enterContext(tempfile.TemporaryDirectory()), "n3.sock")
@@ -41,6 +44,8 @@
         except ConnectionResetError:  # it had more to say than was read
             return True
 
+
+class ControlStories(ControlStory):
     def test_a_report_tells_what_the_node_does_and_owes(self):
         self.begin(attach=False)
         link = self.link()
@@ -126,6 +131,131 @@
         self.assertEqual((process.returncode, error.count("\n")), (2, 1))
 
 
+class StayStories(ControlStory):
+    """A drain that is taken back."""
+
+    def leave(self, link) -> None:
+        self.assertTrue(self.say(link, type="leave", tag=1, generation=7, within=20_000_000_000)["done"])
+
+    def until_it_listens_no_more(self) -> None:
+        while True:  # the grace of 0.3 s ends
+            try:
+                socket.create_connection(("127.0.0.1", self.port), timeout=WAIT).close()
+            except ConnectionRefusedError:
+                return
+
+    def test_a_cancel_after_the_grace_lets_it_take_work_at_once_and_loses_nothing(self):
+        dispatcher, ident = self.running("card")
+        late = self.dispatcher()
+        link = self.link()
+        self.leave(link)
+        self.assertEqual(dispatcher.next(), [b"0", b"last"])
+        within = late.call("card")  # read in the grace: it runs
+        self.assertEqual(self.engine.next()[:2], ("RUN", within))
+        self.until_it_listens_no_more()
+        late.call("card", tag=2)  # after the grace, while the drain stands: it does not
+        self.assertEqual(late.answer()[:2], (2, b"full"))
+        self.assertEqual(self.say(link, type="ask", tag=2)["owes_by"], {"card": 2})
+        while self.report() != "PULSE n3 closed":
+            pass
+        self.assertTrue(self.say(link, type="stay", tag=3, generation=7)["done"])
+        fresh = self.dispatcher()
+        again = fresh.call("card")
+        self.assertEqual(self.engine.next()[:2], ("RUN", again))
+        self.engine.done(again)
+        self.engine.done(ident)
+        self.engine.done(within)
+        for each in (fresh, dispatcher, late):
+            self.assertEqual(each.answer()[1], b"ok")
+        while self.report() != "PULSE n3 open":
+            pass
+        self.assertEqual(self.say(link, type="ask", tag=4)["state"], "serving")
+        self.leave(link)  # and it can leave again
+        self.assertEqual(fresh.next(), [b"0", b"last"])
+        for each in (fresh, dispatcher, late):
+            each.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_cancel_within_the_grace_goes_on_with_the_same_listening_socket(self):
+        self.begin()
+        link = self.link()
+        self.leave(link)
+        self.assertTrue(self.say(link, type="stay", tag=2, generation=7)["done"])
+        self.assertTrue(self.say(link, type="stay", tag=3, generation=7)["done"])  # twice changes nothing
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.done(ident if self.engine.next() else "")
+        self.assertEqual(dispatcher.answer()[1], b"ok")
+
+    def test_a_signal_to_leave_is_final_also_after_a_word_that_was_not(self):
+        dispatcher, ident = self.running("card")
+        link = self.link()
+        self.leave(link)
+        self.process.send_signal(signal.SIGTERM)
+        while (told := self.say(link, type="stay", tag=2, generation=7))["done"]:
+            self.leave(link)  # the signal was not handled yet
+        self.assertEqual(told["why"], "it leaves for good")
+        self.assertFalse(self.say(link, type="stay", tag=3, generation=6)["done"])
+        self.engine.done(ident)
+        dispatcher.answer()
+        dispatcher.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_an_address_that_is_another_s_by_now_leaves_the_drain_standing(self):
+        dispatcher, ident = self.running("card")
+        link = self.link()
+        self.leave(link)
+        self.until_it_listens_no_more()
+        with socket.create_server(("127.0.0.1", self.port)):
+            told = self.say(link, type="stay", tag=2, generation=7)
+        self.assertIn("can't listen again", told["why"])
+        self.assertEqual(self.say(link, type="ask", tag=3)["state"], "draining")
+        self.engine.done(ident)
+        dispatcher.answer()
+        dispatcher.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+
+class RunStory(NodeStory):
+    """`run` of the deploy file, as the platform starts it."""
+
+    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+    def setUp(self) -> None:
+        super().setUp()
+        with open(os.path.join(self.root, "deploy", "balancer.toml"), "rb") as file:
+            run = tomllib.load(file)["run"]
+        self.command = ["/bin/sh", "-c", f"cd {shlex.quote(self.root)} && {run}"]
+        self.variables = {"PYTHONPROFILEIMPORTTIME": "1"}
+
+    def test_it_is_one_process_that_forks_nothing_and_loads_nothing_of_the_agent(self):
+        self.launch(self.told())
+        loaded, port = [], 0
+        for line in self.process.stderr:
+            if line.startswith("import time:"):
+                loaded.append(line.rpartition("|")[2].strip())
+            elif "listening" in line:
+                port = int(line.rsplit(":", 1)[1])
+                break
+        self.port = port
+        self.engine.attach()
+        dispatcher = self.dispatcher()
+        ident = dispatcher.call()
+        self.engine.done(ident if self.engine.next() else "")
+        self.assertEqual(dispatcher.answer()[1], b"ok")
+        with open(f"/proc/{self.process.pid}/cmdline", "rb") as file:
+            self.assertEqual(file.read().split(b"\0")[1:3], [b"-m", b"oakkeel"])  # in place of the shell
+        with open(f"/proc/{self.process.pid}/task/{self.process.pid}/children", "rb") as file:
+            self.assertEqual(file.read(), b"")
+        with open(f"/proc/{self.process.pid}/maps", encoding="utf-8") as file:
+            self.assertRegex(file.read(), r"/ld-linux|/ld-musl")  # linked dynamically
+        self.assertIn("oakkeel.node.assembly", loaded)
+        unwanted = ("msgspec", "blake3", "lxml", "click", "sqlite3", "oakkeel.agent", "oakkeel.record",
+                    "oakkeel.places", "oakkeel.control", "oakkeel.settings", "oakkeel.node.fairly",
+                    "oakkeel.node.controlled", "subprocess._", "multiprocessing")
+        self.assertEqual([name for name in loaded if name.startswith(unwanted)], [])
+
+
 class LoadStory(NodeStory):
     def test_packages_import_downwards_only_and_sides_know_nothing_of_each_other(self):
         root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
