--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 
 .PHONY: build all test lint run demo clean measure-fleet measure-orders measure-decisions measure-listing \
-	measure-node measure-fair measure-emulator
+	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules
 
 # What a node needs, and no more: the platform calls this.
 build: .venv/built
@@ -39,8 +39,9 @@
 	.venv/bin/python -m oakkeel demo $(if $(FOR),--for $(FOR))
 
 # Measurements: each prints one last line with its result. JSON=FILE keeps the figures.
-measure-fleet measure-orders measure-decisions measure-listing measure-fair measure-emulator: all
-	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON))
+measure-fleet measure-orders measure-decisions measure-listing measure-fair measure-emulator measure-agreement \
+measure-drain measure-schedules: all
+	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON)) $(MORE)
 
 # BEFORE=FOLDER, a checkout of the version to compare with.
 measure-node: all
--- a/oakkeel/agent/__main__.py
+++ b/oakkeel/agent/__main__.py
@@ -12,7 +12,7 @@
 from oakkeel.agent.agent import LOG_LINES, Agent, new_seed, patience_of
 from oakkeel.log import Log
 from oakkeel.settings.fleet import SettingsError, read_fleet
-from oakkeel.settings.keys import read_keys
+from oakkeel.settings.keys import read_agent_keys, read_keys
 
 SOCKET_PATH = 107  # bytes that the path of a Unix socket may have
 
@@ -23,7 +23,8 @@
     try:
         fleet = read_fleet(settings)
         host = fleet.host(name)
-        keys = read_keys(fleet)
+        keys, agent_keys = read_keys(fleet), read_agent_keys(fleet)
+        keys |= {key.ident: key for key in agent_keys.values()}
         longest = max(len(os.path.join(host.state, each.name + ".sock").encode()) for each in host.instances)
         if longest > SOCKET_PATH:
             raise SettingsError(f"{settings}: the state folder of {name} is"
@@ -41,7 +42,7 @@
 
         async def run() -> None:
             agent = make(host, patience_of(fleet.supervision), keys, log, new_seed(),
-                         fairness=fleet.fairness)
+                         fairness=fleet.fairness, fleet=fleet, agent_keys=agent_keys)
             asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _take_settings, agent, settings)
             await agent.run()
 
@@ -56,7 +57,8 @@
     """Keys change while the agent serves: the old and the new one are good until the old is taken out."""
     try:
         fleet = read_fleet(settings)
-        agent.take_settings(fleet, read_keys(fleet))
+        agents = {key.ident: key for key in read_agent_keys(fleet).values()}
+        agent.take_settings(fleet, read_keys(fleet) | agents)
     except SettingsError as error:
         agent.log.say("the new settings are not taken", error=str(error))
 
--- /dev/null
+++ b/oakkeel/agent/below.py
@@ -0,0 +1,48 @@
+"""The services below that an agent watches: what it tells of them, and how a place on one is used.
+
+A service is not ours to stop or start. A place on one is a leave for the operator to take it down; it is over
+once the service was down and is up again, or the order was cancelled while it is up. Free of I/O.
+"""
+
+from __future__ import annotations
+
+from oakkeel.places.holding import Holding
+from oakkeel.places.words import PartTold
+
+LOST = 2  # looks in a row that must fail before it counts as down
+
+
+class Below:
+    def __init__(self, holding: Holding, names: tuple[str, ...]) -> None:
+        self.holding = holding
+        self.up = dict.fromkeys(names, False)  # until it is seen
+        self.failed = dict.fromkeys(names, 0)
+        self.was_down: dict[str, int] = {}  # fences under which a service was seen down
+
+    def seen(self, name: str, up: bool) -> None:
+        self.failed[name] = 0 if up else self.failed[name] + 1
+        if up or self.failed[name] >= LOST:
+            self.up[name] = up
+
+    def advance(self, now: int) -> None:
+        for name, up in self.up.items():
+            held = self.holding.places.get(name)
+            if held is None:
+                continue
+            order = self.holding.orders.get(held.ident)
+            if not held.begun and self.holding.may_begin(now, name, held.ident):
+                self.holding.begin(now, name)
+            if held.begun and not up:
+                self.was_down[name] = held.fence
+            over = self.was_down.get(name) == held.fence or order is None or bool(order.cancelled)
+            if held.begun and up and over:
+                self.holding.is_back(name)
+            else:
+                self.holding.is_out(name)
+
+    def ended(self) -> list[PartTold]:
+        """Orders on services that are over: it is down."""
+        return [PartTold(order.ident, thing, "done", "")
+                for order in self.holding.orders.values() for thing, _, state in order.parts
+                if state == "out" and thing in self.up and not self.up[thing]
+                and (held := self.holding.places.get(thing)) and held.ident == order.ident]
--- /dev/null
+++ b/oakkeel/agent/deciding.py
@@ -0,0 +1,138 @@
+"""What an agent does with what the record says: orders taken up, places used, what is told back. Free of I/O.
+
+It stands between `Holding`, which knows places, and `Orders` and `Supervision`, which know instances.
+"""
+
+from __future__ import annotations
+
+from oakkeel.agent.below import Below
+from oakkeel.agent.instances import Goal, Instance, Phase
+from oakkeel.agent.orders import Order, OrderRefused, Orders, PartState, Verb
+from oakkeel.agent.supervision import Supervision
+from oakkeel.places.holding import Holding
+from oakkeel.places.words import Agreed, OrderTold, PartTold, Poll
+
+HOW = {PartState.DONE: "done", PartState.FAILED: "failed", PartState.REFUSED: "refused",
+       PartState.CANCELLED: "cancelled", PartState.SUPERSEDED: "failed", PartState.EXPIRED: "expired"}
+OPEN = ("waiting", "granted", "out")
+
+
+class Deciding:
+    def __init__(self, supervision: Supervision, orders: Orders, holding: Holding, block: int = 64,
+                 services: tuple[str, ...] = ()) -> None:
+        self.supervision, self.orders, self.holding, self.block = supervision, orders, holding, block
+        self.below = Below(holding, services)
+        self.lost = False  # our own file was: nothing begins before the record was heard
+        for instance in supervision.instances:
+            instance.limit = holding.generations.get(instance.name, 0)
+        self.refused: dict[tuple[str, str], str] = {}  # by order and thing: why it was not taken here
+
+    def lost_file(self) -> None:
+        """No generation, order or goal is known: what the record says stands in for them."""
+        self.lost = True
+
+    # What is told.
+
+    def poll(self, now: int) -> Poll:
+        self.below.advance(now)
+        up, reserve = dict(self.below.up), {}
+        for instance in self.supervision.instances:
+            up[instance.name] = instance.phase is Phase.SERVING
+            self._look(instance)
+            if not self.lost and instance.generation + self.block // 2 > \
+                    self.holding.generations.get(instance.name, 0):
+                reserve[instance.name] = instance.generation + self.block
+        return self.holding.poll(now, up, self._ended(), reserve)
+
+    def _look(self, instance: Instance) -> None:
+        """Whether what was taken out under a place is over."""
+        held = self.holding.places.get(instance.name)
+        if held is None or not held.begun:
+            return
+        acts = instance.part is not None and instance.part.state is PartState.ACTING
+        if instance.phase is Phase.SERVING and instance.goal is Goal.UP and not acts:
+            self.holding.is_back(instance.name)
+        else:
+            self.holding.is_out(instance.name)
+
+    def _ended(self) -> list[PartTold]:
+        """What the record takes for open and is over here."""
+        told = self.below.ended()
+        for order in self.holding.orders.values():
+            known = self.orders.orders.get(order.ident)
+            here = {part.instance.name: part for part in known.parts} if known else {}
+            for thing, _, state in order.parts:
+                part = here.get(thing)
+                if state not in OPEN or thing in self.below.up:
+                    continue
+                if part is not None and not part.open:
+                    told.append(PartTold(order.ident, thing, HOW[part.state], part.why))
+                elif why := self.refused.get((order.ident, thing)):
+                    told.append(PartTold(order.ident, thing, "refused", why))
+        return told
+
+    # What is heard.
+
+    def answered(self, now: int, sent_at: int, answer: Agreed) -> list[Order]:
+        """Take what the record says. Returns the orders that are new here, to be kept."""
+        first, reserved = not self.holding.told, dict(self.holding.generations)
+        if not self.holding.answered(now, sent_at, answer):
+            return []
+        if self.lost:
+            self._learn(now)
+        elif first:
+            self._go_beyond(reserved)
+        self.below.advance(now)
+        for instance in self.supervision.instances:
+            if instance.name in self.holding.generations:
+                instance.limit = self.holding.generations[instance.name]
+        taken = []
+        for told in answer.orders:
+            order = self.orders.orders.get(told.ident)
+            if order is None and not told.halted:
+                order = self._take(now, told)
+                if order is not None:
+                    taken.append(order)
+            if order is not None and told.cancelled:
+                self.orders.call_back(now, order, told.cancelled)
+            elif order is not None and told.halted and any(
+                    part.state is PartState.WAITING for part in order.parts):
+                self.orders.cancel(now, order.ident, told.halted)
+        current = {told.ident for told in answer.orders}
+        self.refused = {key: why for key, why in self.refused.items() if key[0] in current}
+        return taken
+
+    def _learn(self, now: int) -> None:
+        """Our own file is gone: go on after all that may have been used, and leave out what is out."""
+        self._go_beyond({})
+        for instance in self.supervision.instances:
+            held = self.holding.places.get(instance.name)
+            order = self.holding.orders.get(held.ident) if held else None
+            if held and held.begun and order and order.verb in ("drain", "stop") and not order.cancelled:
+                self.supervision.want_down(now, instance, order.verb == "stop", True)
+        self.lost = False
+
+    def _go_beyond(self, reserved: dict[str, int]) -> None:
+        """Where the record has given out more generations than our file knows of, any of them may be used."""
+        for instance in self.supervision.instances:
+            told = self.holding.generations.get(instance.name, 0)
+            if told > reserved.get(instance.name, 0):
+                instance.generation, instance.dirty = max(instance.generation, told), True
+
+    def _take(self, now: int, told: OrderTold) -> Order | None:
+        asked = tuple((thing, generation) for thing, generation, state in told.parts if state in OPEN
+                      and (told.ident, thing) not in self.refused and thing in self.orders.named)
+        if not asked or any(self.orders.named[thing].generation >= self.orders.named[thing].limit
+                            for thing, _ in asked):
+            return None  # until it may number what it does
+        try:
+            order = self.orders.take(now, told.ident, told.operator, Verb(told.verb), asked, told.left)
+        except (OrderRefused, ValueError) as error:
+            for thing, _ in asked:
+                self.refused[told.ident, thing] = str(error)
+            return None
+        if not order.open:
+            for part in order.parts:
+                self.refused[told.ident, part.instance.name] = part.why
+            return None
+        return order
--- a/oakkeel/agent/door.py
+++ b/oakkeel/agent/door.py
@@ -19,7 +19,7 @@
 from oakkeel.sealing.marks import NONCE, SECOND, Key, Receiver, Refused, Role
 
 Handler = Callable[[Key, messages.Wish], messages.Answer | Awaitable[messages.Answer]]
-ACTS = (messages.Order, messages.Cancel)
+ACTS = (messages.Order, messages.Cancel, messages.FleetOrder, messages.FleetEnd, messages.SetKeepers)
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,8 +34,7 @@
 
 class Door:
     def __init__(self, address: tuple[str, int], keys: Callable[[], dict[str, Key]], handler: Handler,
-                 log: Log,
-                 bounds: DoorBounds | None = None) -> None:
+                 log: Log, bounds: DoorBounds | None = None) -> None:
         """Raises OSError where the address can't be listened on. `keys` gives those that hold by now."""
         self.keys, self.handler, self.log, self.bounds = keys, handler, log, bounds or DoorBounds()
         self.links: dict[IOStream, asyncio.Task] = {}  # the oldest first
@@ -74,14 +73,17 @@
             challenge = secrets.token_bytes(NONCE)
             receiver = Receiver(self.keys(), challenge, time.monotonic_ns(), self.bounds.wait)
             stream.write(frame(HELLO + challenge))
+            most = LONGEST
             while True:
-                content = await asyncio.wait_for(read_frame(stream), wait)
+                content = await asyncio.wait_for(read_frame(stream, most), wait)
                 try:
                     key, wish = receiver.open(time.monotonic_ns(), time.time_ns(), content)
                 except Refused as error:
                     self._refuse(str(error))
                     await stream.write(frame(REFUSED))  # and no reason: a stranger learns nothing
                     return
+                if key.role is Role.AGENT:  # it has shown whose it is: keepers send each other more
+                    most, stream.max_buffer_size = LONGEST_ANSWER, LONGEST_ANSWER + 4
                 answer = messages.encode(await self._answer(key, wish))
                 if len(answer) > LONGEST_ANSWER - 256:
                     answer = messages.encode(messages.Fault("the answer is too long; ask for less"))
@@ -104,6 +106,9 @@
             wish = messages.read_wish(content)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return messages.Fault(f"no message of this version: {error}")
+        if isinstance(wish, messages.Between) != (key.role is Role.AGENT):
+            self.log.say("a message was refused", key=key.ident, error="not for that key")
+            return messages.Fault(f"key {key.ident} is not for that")
         if isinstance(wish, ACTS) and key.role < Role.ACT:
             self.log.say("an order was refused", operator=key.operator, key=key.ident, error="it views only")
             return messages.Fault(f"{key.operator} may view and not act")
--- a/oakkeel/agent/instances.py
+++ b/oakkeel/agent/instances.py
@@ -29,7 +29,7 @@
     Phase.STARTING: {Phase.COLD, Phase.SERVING, Phase.DRAINING, Phase.SILENT, Phase.STOPPED, Phase.FAILING},
     Phase.COLD: {Phase.SERVING, Phase.STARTING, Phase.DRAINING, Phase.SILENT, Phase.STOPPED, Phase.FAILING},
     Phase.SERVING: {Phase.COLD, Phase.STARTING, Phase.DRAINING, Phase.SILENT, Phase.STOPPED, Phase.FAILING},
-    Phase.DRAINING: {Phase.STOPPED},
+    Phase.DRAINING: {Phase.COLD, Phase.SERVING, Phase.STOPPED},  # called back, or gone
     Phase.SILENT: {Phase.STARTING, Phase.COLD, Phase.SERVING, Phase.DRAINING, Phase.STUCK, Phase.STOPPED,
                    Phase.FAILING},
     Phase.STUCK: {Phase.STARTING, Phase.COLD, Phase.SERVING, Phase.DRAINING, Phase.STOPPED, Phase.FAILING},
@@ -69,6 +69,9 @@
     deaths: deque[int] = field(default_factory=deque)  # when it died by itself, as far as the window goes
     resting: bool = False  # its budget of starts is spent
     why: str = ""  # the last thing that went wrong
+    soft: bool = False  # told to leave in a way that can be taken back
+    recalled: bool = False  # it is to come back from its drain
+    limit: int = 1 << 62  # generations that may be used, where the record gives them out
     part: Any = None  # of the order that is open on it
     dirty: bool = False  # changed since it was last kept
 
--- /dev/null
+++ b/oakkeel/agent/keeping.py
@@ -0,0 +1,284 @@
+"""The record in one agent: its file, its links to other agents, its timers. `Steward` decides."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import secrets
+import time
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from oakkeel.agent import messages
+from oakkeel.agent.laying import layout_of
+from oakkeel.log import Log, fault
+from oakkeel.places import commands
+from oakkeel.places.ledger import Refusal
+from oakkeel.places.steward import Steward
+from oakkeel.places.words import Poll
+from oakkeel.record import kept
+from oakkeel.record.keeper import Fate, NotLeading, Proposal, Role, Steps
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import Letter
+from oakkeel.sealing.link import Link, LinkError
+from oakkeel.sealing.marks import Key
+from oakkeel.settings.fleet import Fleet
+from oakkeel.store.durable import Store, StoreError
+
+MS = 1_000_000
+SECOND = 1000 * MS
+MOST_LETTERS = 256  # that wait for one peer
+MOST_CARRIED = 96 * 1024  # bytes of letters in one message
+CARRY = 700 * MS  # for a message to a peer to be taken; what it held is lost then
+AGAIN = 100 * MS  # after a link failed, and after the file could not be written
+AGREE = 5 * SECOND  # for something proposed to be agreed
+
+
+class Undecided(Exception):
+    """Nobody can say yet whether it is agreed; the same id may be sent again."""
+
+
+class Keeping:
+    """One keeper. Every write, link and timer of it is here."""
+
+    def __init__(self, fleet: Fleet, name: str, keys: dict[str, Key], log: Log,
+                 pace: Pace | None = None) -> None:
+        """Raises StoreError where its file can't be used."""
+        assert fleet.keepers is not None
+        self.fleet, self.name, self.keys, self.log = fleet, name, keys, log
+        self.pace = pace or Pace()
+        host = fleet.host(name)
+        self.path = os.path.join(host.state, "record.db")
+        self.store = Store(self.path, kept.SCHEMA, kept.VERSION, kept.MOST_BYTES)
+        if self.store.set_aside:
+            log.say("the record was set aside", file=self.store.set_aside)
+        self.layout = layout_of(fleet)
+        self.peers: dict[str, Peer] = {}
+        self.futures: dict[Proposal, asyncio.Future] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.fault = ""  # the file can't be written
+        self.leads = False
+        self.steward: Steward | None = None
+
+    def open(self) -> None:
+        self._begin()
+        self._schedule()
+
+    def _begin(self) -> None:
+        """Make the keeper from what is on disk."""
+        try:
+            held = kept.load(self.store, self.name, f"{self.name}.{secrets.token_hex(8)}")
+            if why := kept.check(held):
+                self._set_aside(why)
+                held = kept.load(self.store, self.name, f"{self.name}.{secrets.token_hex(8)}")
+        except StoreError as error:
+            return self._failed(error)
+        self.fault, founders = "", self.fleet.keepers.hosts if self.fleet.keepers else ()
+        self.steward = Steward(time.monotonic_ns(), held, secrets.randbits(60), self.pace, founders,
+                               self.layout)
+        self.steward.watched = self._agreed
+
+    def _agreed(self, index: int, command: commands.Command, result: object) -> None:
+        """Told for whoever looks for a cause: grants by each keeper, as their leader may be gone, the rest by
+        the leader."""
+        if isinstance(result, Refusal):
+            return
+        if isinstance(command, commands.Grant):
+            for thing in command.things:
+                self.log.say("a place is granted", of=thing, fence=index, order=command.ident)
+        if self.steward is None or self.steward.granting is None:
+            return
+        if isinstance(command, commands.Lay):
+            self.log.say("what may be out is as this host's settings say", fence=index)
+        elif isinstance(command, commands.Lapse | commands.Over):
+            over = isinstance(command, commands.Over)
+            self.log.say("a place is free" if over else "a place has lapsed", of=command.thing,
+                         fence=command.fence)
+
+    def _set_aside(self, why: str) -> None:
+        """Put the file away under a name that says when, and begin a new life."""
+        self.store.close()
+        aside = f"{self.path}.{time.strftime('%Y%m%dT%H%M%S', time.gmtime())}-{os.getpid()}"
+        for ending in ("", "-wal", "-shm"):
+            with contextlib.suppress(FileNotFoundError):
+                os.rename(self.path + ending, aside + ending)
+        self.log.say("the record's file is not gone by", file=aside, error=why)
+        self.store = Store(self.path, kept.SCHEMA, kept.VERSION, kept.MOST_BYTES)
+
+    def _failed(self, error: StoreError) -> None:
+        """As if it had crashed: made again from what is there, once that can be written."""
+        if str(error) != self.fault:
+            self.log.say("the record can't be kept", error=str(error))
+        self.fault, self.steward = str(error), None
+        for future in self.futures.values():
+            if not future.done():
+                future.set_exception(Undecided("the record can't be kept here"))
+        self.futures.clear()
+
+    # What happens.
+
+    def carried(self, sender: str, letters: list[Letter]) -> list[Letter]:
+        """Letters came from a host, as its key proves. Returns those that wait for it."""
+        for letter in letters:
+            if letter.name == sender and self.steward:
+                self._carry_out(self.steward.heard(time.monotonic_ns(), letter))
+        self._schedule()
+        return self._peer(sender).take() if sender in self.keys else []
+
+    def polled(self, poll: Poll) -> messages.Answer:
+        if self.steward is None:
+            return messages.Elsewhere("", self.fault or "the record is not kept here")
+        try:
+            agreed, steps = self.steward.polled(time.monotonic_ns(), poll)
+        except NotLeading as error:
+            return messages.Elsewhere(error.leader, str(error))
+        self._carry_out(steps)
+        self._schedule()
+        return messages.AgreedTold(agreed)
+
+    async def propose(self, command: commands.Command) -> object:
+        """What came of it once it is agreed. Raises NotLeading, or Undecided."""
+        if self.steward is None:
+            raise NotLeading("", self.fault)
+        proposal, steps = self.steward.propose(time.monotonic_ns(), command)
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.futures[proposal] = future
+        self._carry_out(steps)
+        self._schedule()
+        try:
+            return await asyncio.wait_for(future, AGREE / SECOND)
+        except TimeoutError:
+            raise Undecided("no majority has kept it yet") from None
+        finally:
+            self.futures.pop(proposal, None)
+
+    def _tick(self) -> None:
+        self.timer = None
+        try:
+            if self.steward is None:
+                self._begin()
+            else:
+                self._carry_out(self.steward.tick(time.monotonic_ns()))
+        except Exception as error:  # the agent lives on; what is on disk is whole
+            self.log.say("the record failed", error=fault(error))
+            self.steward = None
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+        now = time.monotonic_ns()
+        at = now + AGAIN
+        if self.steward:
+            at = min(self.steward.keeper.next_at(), now + (50 * MS if self.steward.granting else SECOND))
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(max(MS, at - now) / SECOND, self._tick)
+
+    def _carry_out(self, all_steps: list[Steps]) -> None:
+        """Written before anything is sent or told, in the order in which it was decided."""
+        for steps in all_steps:
+            if self.steward is None:
+                return
+            if steps.keep:
+                try:
+                    kept.write(self.store, self.steward.keeper.durable, steps.keep)
+                except StoreError as error:
+                    return self._failed(error)
+            for name, letter in steps.send:
+                if name in self.keys:
+                    self._peer(name).put(letter)
+            for proposal in steps.ended:
+                self._ended(proposal)
+        steward = self.steward
+        if steward is None:
+            return
+        if steward.keeper.role is Role.OUTDATED:
+            self._set_aside(steward.keeper.why)
+            self._begin()
+        elif (leads := steward.granting is not None) != self.leads:
+            self.leads = leads
+            self.log.say("leads the record" if leads else "leads the record no more",
+                         term=steward.keeper.term, agreed=steward.keeper.commit)
+
+    def _ended(self, proposal: Proposal) -> None:
+        future = self.futures.pop(proposal, None)
+        if future is None or future.done():
+            return
+        if proposal.fate is Fate.AGREED:
+            future.set_result(proposal.result)
+        else:
+            future.set_exception(Undecided("its leader is leader no more"))
+
+    def _peer(self, name: str) -> Peer:
+        if name not in self.peers:
+            link = Link(self.fleet.host(name).agent, self.keys[self.name])
+            self.peers[name] = Peer(name, link, self._came)
+        return self.peers[name]
+
+    def _came(self, name: str, letters: list[Letter]) -> None:
+        """With the answer to what we sent."""
+        for letter in letters:
+            if letter.name == name and self.steward:
+                self._carry_out(self.steward.heard(time.monotonic_ns(), letter))
+        self._schedule()
+
+    def close(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+        for peer in self.peers.values():
+            peer.close()
+        self.store.close()
+
+
+class Peer:
+    """Another keeper: what waits for it, and the link on which it goes."""
+
+    def __init__(self, name: str, link: Link, came: Callable[[str, list[Letter]], None]) -> None:
+        self.name, self.link, self.came = name, link, came
+        self.waiting: deque[Letter] = deque(maxlen=MOST_LETTERS)  # the oldest is lost first
+        self.some = asyncio.Event()
+        self.task = asyncio.ensure_future(self._send())
+
+    def put(self, letter: Letter) -> None:
+        self.waiting.append(letter)
+        self.some.set()
+
+    def take(self) -> list[Letter]:
+        """As many as one message holds."""
+        letters: list[Letter] = []
+        size = 0
+        while self.waiting:
+            size += len(msgspec.msgpack.encode(self.waiting[0]))
+            if letters and size > MOST_CARRIED:
+                break
+            letters.append(self.waiting.popleft())
+        if not self.waiting:
+            self.some.clear()
+        return letters
+
+    async def _send(self) -> None:
+        while True:
+            await self.some.wait()
+            letters = self.take()
+            if not letters:
+                continue
+            try:
+                if self.link.stream is None:
+                    await self._ask([])  # shows whose link it is, so that a long message is taken
+                await self._ask(letters)
+            except (LinkError, msgspec.MsgspecError):
+                await asyncio.sleep(AGAIN / SECOND)  # what was sent is lost: keepers say it again
+
+    async def _ask(self, letters: list[Letter]) -> None:
+        answer = messages.read_answer(await self.link.ask(messages.encode(messages.Carry(letters)),
+                                                          CARRY / SECOND))
+        if isinstance(answer, messages.Carried):
+            self.came(self.name, answer.letters)
+
+    def close(self) -> None:
+        self.task.cancel()
+        self.link.close()
+
--- a/oakkeel/agent/kept.py
+++ b/oakkeel/agent/kept.py
@@ -8,6 +8,7 @@
 
 from oakkeel.agent.instances import Goal, Instance, Phase
 from oakkeel.agent.orders import Order, Orders, Part, PartState, Verb
+from oakkeel.places.holding import Holding
 from oakkeel.store.durable import Statement, Store
 
 VERSION = 1
@@ -21,6 +22,12 @@
 CREATE TABLE parts (ident TEXT, instance TEXT, generation INTEGER, state TEXT, since INTEGER, why TEXT,
     replaces INTEGER, PRIMARY KEY (ident, instance))
 """
+# Beside the schema, so that a file of an earlier program is gone on with.
+PLACES: list[Statement] = [("CREATE TABLE IF NOT EXISTS places (thing TEXT PRIMARY KEY, fence INTEGER,"
+                            " ident TEXT, begun INTEGER)", ()),
+                           ("CREATE TABLE IF NOT EXISTS reserved (thing TEXT PRIMARY KEY, upto INTEGER)", ()),
+                           ("CREATE TABLE IF NOT EXISTS heard (one INTEGER PRIMARY KEY, epoch TEXT)", ())]
+PUT_PLACE = "INSERT OR REPLACE INTO places VALUES (?,?,?,?)"
 PUT_INSTANCE = "INSERT OR REPLACE INTO instances VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)"
 PUT_ORDER = "INSERT OR IGNORE INTO orders VALUES (NULL,?,?,?,?,?,?)"
 PUT_PART = "INSERT OR REPLACE INTO parts VALUES (?,?,?,?,?,?,?)"
@@ -77,3 +84,25 @@
             found[ident].parts.append(
                 Part(found[ident], instance, generation, PartState(state), since, why, replaces))
     orders.restore(list(found.values()))
+
+
+def place_statements(holding: Holding) -> list[Statement]:
+    """The fences and places that changed, and the record that they are of."""
+    rows: list[Statement] = []
+    for thing in sorted(holding.changed):
+        held = holding.places.get(thing)
+        rows.append((PUT_PLACE, (thing, holding.floors.get(thing, 0), held.ident if held else "",
+                                 bool(held and held.begun))))
+        if thing in holding.generations:
+            rows.append(("INSERT OR REPLACE INTO reserved VALUES (?,?)", (thing, holding.generations[thing])))
+    if rows:
+        rows.append(("INSERT OR REPLACE INTO heard VALUES (1, ?)", (holding.epoch,)))
+    return rows
+
+
+def take_up_places(store: Store, holding: Holding) -> None:
+    epochs = store.read("SELECT epoch FROM heard")
+    holding.restore(epochs[0][0] if epochs else "",
+                    [(thing, fence, ident, bool(begun)) for thing, fence, ident, begun
+                     in store.read("SELECT thing, fence, ident, begun FROM places")],
+                    dict(store.read("SELECT thing, upto FROM reserved")))
--- /dev/null
+++ b/oakkeel/agent/laying.py
@@ -0,0 +1,29 @@
+"""What there is to take out and how much of it, from the operators' settings. Free of I/O."""
+
+from __future__ import annotations
+
+from oakkeel.places.layout import Group, Layout
+from oakkeel.settings.fleet import Fleet
+
+
+def layout_of(fleet: Fleet) -> Layout:
+    """Groups for the fleet, each site and each kind of service below."""
+    keepers = fleet.keepers
+    services = keepers.services if keepers else ()
+    hosts: dict[str, tuple[str, ...]] = {}
+    sites: dict[str, list[str]] = {site: [] for site in fleet.sites}
+    hanging: dict[str, list[str]] = {service.name: [] for service in services}
+    for host in fleet.hosts:
+        names = [instance.name for instance in host.instances]
+        sites[host.site] += names
+        hosts[host.name] = (*names, *(each.name for each in services if each.host == host.name))
+        for instance in host.instances:
+            for name in instance.below:
+                hanging[name].append(instance.name)
+    groups = [Group(f"site {site}", fleet.sites[site], tuple(names)) for site, names in sites.items()]
+    if keepers:
+        every = tuple(name for names in sites.values() for name in names)
+        groups.append(Group("fleet", keepers.away, every))
+        groups += [Group(f"kind {kind}", away, tuple(each.name for each in services if each.kind == kind))
+                   for kind, away in keepers.kinds.items()]
+    return Layout(hosts, tuple(groups), {name: tuple(found) for name, found in hanging.items() if found})
--- a/oakkeel/agent/messages.py
+++ b/oakkeel/agent/messages.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from oakkeel.control.messages import ClientsTold, Report
+from oakkeel.places.words import Agreed, Poll
+from oakkeel.record.words import Letter
 
 
 class Look(msgspec.Struct, tag="look", forbid_unknown_fields=True):
@@ -40,6 +42,51 @@
     most: int = 20
 
 
+class Carry(msgspec.Struct, tag="carry", forbid_unknown_fields=True):
+    """Letters from one keeper to another. `Carried` comes back."""
+
+    letters: list[Letter]
+
+
+class Polled(msgspec.Struct, tag="polled", forbid_unknown_fields=True):
+    """An agent to whom it takes for the leader. `AgreedTold` comes back, or `Elsewhere`."""
+
+    poll: Poll
+
+
+class FleetOrder(msgspec.Struct, tag="fleet", forbid_unknown_fields=True):
+    """An order for things of any host, to be agreed. `FleetTold` comes back, or `Elsewhere`."""
+
+    ident: str
+    verb: str
+    things: list[tuple[str, int]]
+    lasts: int  # nanoseconds
+    whole: bool = False
+
+
+class FleetEnd(msgspec.Struct, tag="end", forbid_unknown_fields=True):
+    """Halt an order of the fleet, or cancel it: what it took out comes back. `FleetTold` comes back."""
+
+    ident: str
+    back: bool
+
+
+class SetKeepers(msgspec.Struct, tag="set keepers", forbid_unknown_fields=True):
+    """Who should keep the record from now on. `RecordTold` comes back, or `Elsewhere`."""
+
+    hosts: list[str]
+
+
+class AskRecord(msgspec.Struct, tag="record", forbid_unknown_fields=True):
+    """How is the record, as this agent knows it? `RecordTold` comes back."""
+
+
+class AskFleet(msgspec.Struct, tag="fleet state", forbid_unknown_fields=True):
+    """Places and orders of the fleet. `FleetStateTold` comes back, or `Elsewhere`."""
+
+    ident: str = ""  # of one order; else the latest
+
+
 class OrderOn(msgspec.Struct):
     """The order that is open on an instance."""
 
@@ -105,14 +152,102 @@
     told: ClientsTold
 
 
+class Carried(msgspec.Struct, tag="carried"):
+    letters: list[Letter]
+
+
+class AgreedTold(msgspec.Struct, tag="agreed"):
+    agreed: Agreed
+
+
+class Elsewhere(msgspec.Struct, tag="elsewhere"):
+    """Only the leader answers that; `leader` is a host, or empty where none is known."""
+
+    leader: str
+    why: str
+
+
+class FleetPart(msgspec.Struct):
+    thing: str
+    host: str
+    state: str
+    why: str
+    place: int  # the fence of its place; 0: none
+
+
+class FleetTold(msgspec.Struct, tag="fleet"):
+    """An order of the fleet as it is agreed."""
+
+    ident: str
+    operator: str
+    verb: str
+    unix: int
+    whole: bool
+    halted: str
+    cancelled: str
+    parts: list[FleetPart]
+
+
+class PlaceOut(msgspec.Struct):
+    """A thing that is out, and why."""
+
+    thing: str
+    host: str
+    reasons: list[str]
+    fence: int = 0
+    order: str = ""
+
+
+class GroupOut(msgspec.Struct):
+    name: str
+    out: int
+    bound: int
+
+
+class FleetStateTold(msgspec.Struct, tag="fleet state"):
+    index: int
+    groups: list[GroupOut]
+    out: list[PlaceOut]
+    orders: list[FleetTold]  # the latest first
+
+
+class KeeperTold(msgspec.Struct):
+    """A member of the record, as its leader or one who follows knows it. -1: not known here."""
+
+    name: str
+    life: str
+    votes: bool
+    behind: int  # entries
+    heard_age: int
+
+
+class RecordTold(msgspec.Struct, tag="record"):
+    host: str
+    role: str  # none: it keeps nothing
+    role_age: int
+    epoch: str
+    term: int
+    leader: str
+    leads: bool  # and its lease holds
+    agreed: int  # index
+    last: int
+    elections: int
+    heard_age: int  # since this agent heard the record's answer last
+    members: list[KeeperTold]
+    why: str
+
+
 class Fault(msgspec.Struct, tag="fault"):
     """Nothing came of it."""
 
     why: str
 
 
-Wish = Look | Order | Cancel | ListOrders | Clients
-Answer = HostTold | OrderTold | OrdersTold | ClientsOf | Fault
+Between = Carry | Polled  # agents
+Wish = (Look | Order | Cancel | ListOrders | Clients | FleetOrder | FleetEnd | SetKeepers | AskRecord
+        | AskFleet | Between)
+Answer = (HostTold | OrderTold | OrdersTold | ClientsOf | Carried | AgreedTold | Elsewhere | FleetTold
+          | FleetStateTold | RecordTold | Fault)
 _wishes = msgspec.msgpack.Decoder(Wish)
 _answers = msgspec.msgpack.Decoder(Answer)
 _encoder = msgspec.msgpack.Encoder()
--- a/oakkeel/agent/orders.py
+++ b/oakkeel/agent/orders.py
@@ -14,6 +14,7 @@
 
 from oakkeel.agent.instances import Goal, Instance, Phase
 from oakkeel.agent.supervision import Supervision
+from oakkeel.places.holding import Holding
 
 SECOND = 1_000_000_000
 
@@ -42,7 +43,7 @@
 ENDS = frozenset(PartState) - set(OPEN) - {PartState.REFUSED}
 NEXT = {
     PartState.WAITING: {PartState.ACTING} | ENDS,
-    PartState.ACTING: ENDS - {PartState.CANCELLED, PartState.EXPIRED},
+    PartState.ACTING: ENDS - {PartState.EXPIRED},
     **{state: frozenset() for state in ENDS},
     PartState.REFUSED: frozenset(),
 }
@@ -91,8 +92,10 @@
     """The open orders of a host and the last of those that ended."""
 
     def __init__(self, supervision: Supervision, unix: Callable[[], int], most_open: int = 256,
-                 most: int = 2048) -> None:
+                 most: int = 2048, holding: Holding | None = None) -> None:
+        """`holding`: the places of a fleet with keepers, without which nothing is taken out."""
         self.supervision, self.unix, self.most_open, self.most = supervision, unix, most_open, most
+        self.holding = holding
         self.named = {each.name: each for each in supervision.instances}
         self.orders: dict[str, Order] = {}  # the oldest first
         self.acting: list[Part] = []  # open parts, in the order in which they were taken
@@ -170,6 +173,8 @@
                 f"changed by {instance.changed_by or 'nobody'}")
             return (f"{whose} since {_clock(instance.changed)}; it is generation {instance.generation},"
                     f" not {part.generation}")
+        if instance.generation >= instance.limit:
+            return "no generation is left for it until the record is heard"
         if standing is not None and not supersede:
             return (f"{standing.order.operator}'s {standing.order.verb.value} stands since"
                     f" {_clock(standing.order.taken)}")
@@ -196,15 +201,33 @@
             if part.state is PartState.WAITING:
                 if now >= part.order.expires:
                     self._move(now, part, PartState.EXPIRED, "no room in its time")
-                elif part.order.verb is Verb.START or self.supervision.room(part.instance):
+                elif part.order.verb is Verb.START or self._room(now, part):
                     self._begin(now, part)
             if part.state is PartState.ACTING:
                 self._look(now, part)
         # Those superseded leave here too, not when that is decided: it may have to be undone.
         self.acting = [part for part in self.acting if part.open]
 
+    def _room(self, now: int, part: Part) -> bool:
+        """Whether it may be taken out: by the host's own part of its site, or by a place of the record."""
+        if self.holding is None:
+            return self.supervision.room(part.instance)
+        return self.holding.may_begin(now, part.instance.name, part.order.ident)
+
+    def call_back(self, now: int, order: Order, operator: str) -> None:
+        """Cancel it for good: what it has taken out comes back, also what has ended by then."""
+        for part in order.parts:
+            took = part.state in (PartState.ACTING, PartState.DONE)
+            if part.state in OPEN:
+                self._move(now, part, PartState.CANCELLED, f"by {operator}")
+            if took and order.verb in (Verb.DRAIN, Verb.STOP) and part.instance.goal is Goal.DOWN \
+                    and part.instance.part is None:
+                self.supervision.want_back(now, part.instance)
+
     def _begin(self, now: int, part: Part) -> None:
         instance, supervision = part.instance, self.supervision
+        if self.holding and part.order.verb is not Verb.START:
+            self.holding.begin(now, instance.name)
         part.replaces = instance.born
         self._move(now, part, PartState.ACTING)
         if part.order.verb is Verb.START:
@@ -214,7 +237,7 @@
         elif part.order.verb is Verb.RESTART:
             supervision.want_anew(now, instance)
         else:
-            supervision.want_down(now, instance, part.order.verb is Verb.STOP)
+            supervision.want_down(now, instance, part.order.verb is Verb.STOP, self.holding is not None)
 
     def _look(self, now: int, part: Part) -> None:
         """Whether it is over with its instance."""
--- /dev/null
+++ b/oakkeel/agent/polling.py
@@ -0,0 +1,122 @@
+"""Tells the leader how the things of a host are, again and again, and hears what is agreed of them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from oakkeel.agent import messages
+from oakkeel.agent.below import Below
+from oakkeel.agent.deciding import Deciding
+from oakkeel.agent.keeping import Keeping
+from oakkeel.log import Log, fault
+from oakkeel.places.words import Agreed
+from oakkeel.sealing.link import Link, LinkError
+from oakkeel.sealing.marks import Key
+from oakkeel.settings.fleet import Fleet, Service
+
+MS = 1_000_000
+SECOND = 1000 * MS
+POLL = 150 * MS  # from one poll to the next
+POLL_EACH = MS // 2  # of this times the hosts of the fleet, where they are many
+ANSWER = 800 * MS
+PROBE = 400 * MS  # between looks at a service below
+
+
+class Polling:
+    def __init__(self, fleet: Fleet, name: str, keys: dict[str, Key], deciding: Deciding, log: Log,
+                 heard: Callable[[Agreed], None]) -> None:
+        """`heard` is called with each answer that was taken."""
+        assert fleet.keepers is not None
+        self.fleet, self.name, self.key, self.deciding, self.log = fleet, name, keys[name], deciding, log
+        self.heard = heard
+        self.keepers: Sequence[str] = fleet.keepers.hosts
+        self.keeping: Keeping | None = None
+        self.links: dict[str, Link] = {}
+        self.leader = self.keepers[0]
+        self.turn = 0
+        self.heard_at = 0  # monotonic; 0: never
+        self.why = "not asked yet"
+        self.soon = asyncio.Event()
+        self.pause = max(POLL, POLL_EACH * len(fleet.hosts))
+
+    async def run(self) -> None:
+        while True:
+            try:
+                answer = await self._ask()
+                if isinstance(answer, messages.Elsewhere):
+                    self.why = answer.why
+                    self._turn_to(answer.leader)
+                elif not isinstance(answer, messages.AgreedTold):
+                    self.why = getattr(answer, "why", "an answer to another question")
+                    self._turn_to("")
+            except (LinkError, msgspec.MsgspecError) as error:
+                self.why = f"{self.leader}: {error}"
+                self._turn_to("")
+            except Exception as error:  # the agent lives on
+                self.log.say("a poll failed", error=fault(error))
+            self.soon.clear()
+            try:
+                await asyncio.wait_for(self.soon.wait(), self.pause / SECOND)
+            except TimeoutError:
+                continue
+            await asyncio.sleep(0.005)  # what changes at the same time goes along
+
+    async def _ask(self) -> messages.Answer:
+        sent_at = time.monotonic_ns()
+        poll = self.deciding.poll(sent_at)
+        if self.leader == self.name and self.keeping:
+            answer = self.keeping.polled(poll)
+        else:
+            if self.leader not in self.links:
+                self.links[self.leader] = Link(self.fleet.host(self.leader).agent, self.key)
+            answer = messages.read_answer(await self.links[self.leader].ask(
+                messages.encode(messages.Polled(poll)), ANSWER / SECOND))
+        if isinstance(answer, messages.AgreedTold):
+            self._take(sent_at, answer.agreed)
+        return answer
+
+    def _take(self, sent_at: int, agreed: Agreed) -> None:
+        holding = self.deciding.holding
+        self.deciding.answered(time.monotonic_ns(), sent_at, agreed)
+        if holding.why:
+            if holding.why != self.why:
+                self.log.say("an answer of the record is not taken", error=holding.why)
+            self.why = holding.why
+            return
+        self.heard_at, self.why = time.monotonic_ns(), ""
+        if agreed.keepers:
+            self.keepers = agreed.keepers
+        self.heard(agreed)
+
+    def _turn_to(self, leader: str) -> None:
+        """Whom to ask next: the one that was named, or each keeper in turn."""
+        if leader and leader != self.leader and leader in {host.name for host in self.fleet.hosts}:
+            self.leader = leader
+            return
+        self.turn += 1
+        self.leader = self.keepers[self.turn % len(self.keepers)]
+
+    def close(self) -> None:
+        for link in self.links.values():
+            link.close()
+
+
+async def probe(service: Service, below: Below, moved: Callable[[], None]) -> None:
+    """Look whether a service below takes connections, again and again."""
+    while True:
+        up = False
+        try:
+            _, writer = await asyncio.wait_for(asyncio.open_connection(*service.address), PROBE / SECOND)
+            up = True
+            writer.close()
+        except (TimeoutError, OSError):
+            pass
+        was = below.up[service.name]
+        below.seen(service.name, up)
+        if below.up[service.name] is not was:
+            moved()
+        await asyncio.sleep(PROBE / SECOND)
--- a/oakkeel/agent/supervision.py
+++ b/oakkeel/agent/supervision.py
@@ -16,6 +16,7 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
+RECALL = 200 * MS  # from one word to a node that it may stay to the next
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,7 +38,9 @@
 
 class Act(Enum):
     START = "start"  # a process of the instance's new generation
-    TERM = "term"  # tell it to leave
+    TERM = "term"  # tell it to leave, for good
+    LEAVE = "leave"  # tell it to leave in a way that can be taken back
+    STAY = "stay"  # take that back
     KILL = "kill"
 
 
@@ -75,7 +78,9 @@
             return
         instance.heard, instance.report = now, report
         told = REPORTED[state]
-        if instance.phase is not Phase.DRAINING and told is not instance.phase:
+        if instance.phase is not Phase.DRAINING and told is not instance.phase or (
+                instance.recalled and told in (Phase.COLD, Phase.SERVING)):
+            instance.recalled = instance.soft = instance.kill = False
             self._move(now, instance, told)
         if instance.phase is Phase.SERVING and now - instance.since > self.patience.steady:
             instance.failures = 0
@@ -119,6 +124,7 @@
             return
         asked = instance.phase is Phase.DRAINING or instance.goal is Goal.DOWN
         instance.left_at, instance.kill, instance.report = 0, False, None
+        instance.soft = instance.recalled = False
         if asked:
             instance.start_at = now
             return self._move(now, instance, Phase.STOPPED)
@@ -145,14 +151,22 @@
         instance.start_at, instance.failures, instance.resting = now, 0, False
         instance.deaths.clear()
 
-    def want_down(self, now: int, instance: Instance, kill: bool) -> None:
-        """By an order: drained, and killed after its drain time if `kill`."""
+    def want_down(self, now: int, instance: Instance, kill: bool, soft: bool = False) -> None:
+        """By an order: drained, and killed after its drain time if `kill`. One that leaves softly can be
+        called back."""
         instance.goal, instance.dirty = Goal.DOWN, True
         if instance.phase is Phase.FAILING:
             self._move(now, instance, Phase.STOPPED)
         elif instance.alive:
+            instance.soft = soft
             self._leave(now, instance, kill)
 
+    def want_back(self, now: int, instance: Instance) -> None:
+        """By a cancel: it takes work again, or is started anew where it has ended by then."""
+        self.want_up(now, instance)
+        if instance.phase is Phase.DRAINING and instance.soft:
+            instance.recalled, instance.left_at = True, 0
+
     def want_anew(self, now: int, instance: Instance) -> None:
         """By an order: drained, and started again."""
         self.want_up(now, instance)
@@ -169,14 +183,18 @@
         for instance in self.instances:
             phase = instance.phase
             if phase in (Phase.STOPPED, Phase.FAILING):
-                if (instance.goal is Goal.UP and now >= instance.start_at
+                if (instance.goal is Goal.UP and now >= instance.start_at and self._numbered(instance)
                         and self.booting < self.patience.starting):
                     self._begin(now, instance)
                     steps.append(Step(Act.START, instance))
             elif phase is Phase.DRAINING:
-                if not instance.left_at:
+                if instance.recalled:
+                    if now - instance.left_at >= RECALL:
+                        instance.left_at = now
+                        steps.append(Step(Act.STAY, instance))
+                elif not instance.left_at:
                     instance.left_at = now
-                    steps.append(Step(Act.TERM, instance))
+                    steps.append(Step(Act.LEAVE if instance.soft else Act.TERM, instance))
                 elif instance.kill and now - instance.left_at >= self.patience.drain:
                     instance.left_at = now  # should even that not be enough
                     steps.append(Step(Act.KILL, instance))
@@ -184,6 +202,13 @@
                 self._watch(now, instance)
         return steps
 
+    def _numbered(self, instance: Instance) -> bool:
+        """Whether it may have a generation more: a number that was used before must never come again."""
+        if instance.generation < instance.limit or not instance.spawned and instance.born:
+            return True
+        instance.why = "no generation is left for it until the record is heard"
+        return False
+
     def _watch(self, now: int, instance: Instance) -> None:
         patience, quiet = self.patience, now - max(instance.heard, instance.since)
         if instance.phase is Phase.SILENT:
--- a/oakkeel/agent/told.py
+++ b/oakkeel/agent/told.py
@@ -1,30 +1,26 @@
-"""What the agent tells of its instances and orders, each fact with its age."""
+"""What the agent tells of its instances, its orders and the record, each fact with its age."""
 
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
 
 from oakkeel.agent import messages
 from oakkeel.agent.instances import Goal, Instance, Phase
+from oakkeel.agent.keeping import Keeping
 from oakkeel.agent.orders import Order
+from oakkeel.agent.polling import Polling
+from oakkeel.agent.supervision import Supervision
+from oakkeel.places.ledger import Order as Agreed
+from oakkeel.record.keeper import NotLeading
+from oakkeel.record.leading import NEVER
+from oakkeel.settings.fleet import HostSettings
 
-if TYPE_CHECKING:
-    from oakkeel.agent.agent import Agent
 
-
-def host_told(now: int, agent: Agent) -> messages.HostTold:
-    host, supervision = agent.host, agent.supervision
-    notes = list(agent.notes)
-    if agent.store_fault:
-        notes.append(f"orders wait, as the state can't be kept: {agent.store_fault}")
-    for instance in agent.lost:
-        notes.append(f"{instance.name}: a process that can't be identified holds its lock")
+def host_told(now: int, host: HostSettings, supervision: Supervision, started: int, notes: list[str],
+              pids: dict[Instance, int]) -> messages.HostTold:
     return messages.HostTold(
-        host.name, host.site, now - agent.started, time.time_ns(), host.away, supervision.out[host.site],
-        notes,
-        [_instance_told(now, each, agent.alive[each].pid if each in agent.alive else 0)
-         for each in supervision.instances])
+        host.name, host.site, now - started, time.time_ns(), host.away, supervision.out[host.site], notes,
+        [_instance_told(now, each, pids.get(each, 0)) for each in supervision.instances])
 
 
 def _instance_told(now: int, instance: Instance, pid: int) -> messages.InstanceTold:
@@ -47,3 +43,64 @@
     parts += [messages.PartTold(name, "refused", 0, "no such instance here") for name, _ in order.asked
               if name not in here]
     return messages.OrderTold(order.ident, order.operator, order.verb.value, order.taken, parts)
+
+
+# The record.
+
+
+def record_told(now: int, host: str, keeping: Keeping | None, polling: Polling | None) -> messages.RecordTold:
+    heard = now - polling.heard_at if polling and polling.heard_at else -1
+    if keeping is None or keeping.steward is None:
+        why = keeping.fault if keeping else polling.why if polling else "this fleet has no keepers"
+        return messages.RecordTold(host, "none", 0, "", 0, polling.leader if polling and heard >= 0 else "",
+                                   False, 0, 0, 0, heard, [], why)
+    keeper = keeping.steward.keeper
+    peers = keeper.leading.peers if keeper.leading else {}
+    members = []
+    for each in keeper.members:
+        peer = peers.get(each.life)
+        mine = each.life == keeper.life
+        behind = 0 if mine else keeper.log.last - peer.match if peer else -1
+        age = 0 if mine else now - peer.heard if peer and peer.heard > -NEVER else -1
+        members.append(messages.KeeperTold(each.name, each.life, each.votes, behind, age))
+    return messages.RecordTold(
+        host, keeper.role.value, now - keeper.since, keeper.durable.epoch, keeper.term, keeper.leader,
+        keeper.leads(now), keeper.commit, keeper.log.last, keeper.elections, heard, members,
+        keeper.why or (polling.why if polling else ""))
+
+
+def fleet_told(keeping: Keeping, order: Agreed) -> messages.FleetTold:
+    places, hosts = {}, {}
+    if keeping.steward:
+        places = keeping.steward.ledger.held.places
+        hosts = {thing: host for host, things in keeping.layout.hosts.items() for thing in things}
+    parts = []
+    for thing, part in order.parts.items():
+        place = places.get(thing)
+        fence = place.fence if place and place.ident == order.ident else 0
+        parts.append(messages.FleetPart(thing, hosts.get(thing, ""), part.state, part.why, fence))
+    return messages.FleetTold(order.ident, order.operator, order.verb, order.unix, order.whole, order.halted,
+                              order.cancelled, parts)
+
+
+def state_told(now: int, keeping: Keeping, ident: str) -> messages.Answer:
+    """Raises NotLeading: only a leader whose lease holds knows what is so by now."""
+    steward = keeping.steward
+    if steward is None or steward.granting is None or not steward.keeper.leads(now):
+        raise NotLeading(steward.keeper.leader if steward and not steward.keeper.leading else "")
+    held, out = steward.ledger.held, steward.granting.out
+    if ident:
+        if ident not in held.orders:
+            return messages.Fault(f"there is no order {ident}")
+        told = fleet_told(keeping, held.orders[ident])
+        return messages.FleetStateTold(steward.ledger.index, [], [], [told])
+    hosts = steward.granting.host_of
+    things = []
+    for thing, reasons in sorted(out.reasons.items()):
+        place = held.places.get(thing)
+        things.append(messages.PlaceOut(thing, hosts.get(thing, ""), sorted(reasons),
+                                        place.fence if place else 0, place.ident if place else ""))
+    groups = [messages.GroupOut(name, out.counts[name], group.bound) for name, group in out.groups.items()]
+    latest = list(held.orders.values())[-50:]
+    return messages.FleetStateTold(steward.ledger.index, groups, things,
+                                   [fleet_told(keeping, each) for each in reversed(latest)])
--- /dev/null
+++ b/oakkeel/cli/choosing.py
@@ -0,0 +1,31 @@
+"""Which instances a command means, and whether the operator is sure."""
+
+from __future__ import annotations
+
+import click
+
+from oakkeel.cli.common import Asker, err, fail, interactive
+from oakkeel.fleet.choosing import Choice, taken_out
+from oakkeel.fleet.view import Row
+
+ASK_ABOVE = 0.34  # of a site, taken out by one order: from there on it is asked first
+
+
+async def choose(asker: Asker, choice: Choice) -> tuple[list[Row], list[Row]]:
+    """All rows, and those that are meant."""
+    rows = await asker.look()
+    chosen = asker.chosen(rows, choice)
+    if not chosen:
+        fail("no instance is meant by all of that")
+    return rows, chosen
+
+
+def sure(verb: str, rows: list[Row], chosen: list[Row]) -> bool:
+    """Asked first where it takes out much of a site."""
+    if much := taken_out(rows, chosen, ASK_ABOVE):
+        for line in much:
+            err.print(line, style="yellow", markup=False)
+        if not interactive():
+            fail("that is more than a third of a site: say --yes")
+        return click.confirm(f"{verb} all the same?", err=True)
+    return True
--- a/oakkeel/cli/main.py
+++ b/oakkeel/cli/main.py
@@ -10,8 +10,9 @@
 from oakkeel.cli.common import CODES, Duration, fail, out
 from oakkeel.cli.looking import ls, orders, show, watch
 from oakkeel.cli.ordering import COMMANDS
+from oakkeel.cli.record import keepers, places
 from oakkeel.settings.fleet import SettingsError, read_fleet
-from oakkeel.settings.keys import read_keys, write_key
+from oakkeel.settings.keys import read_agent_keys, read_keys, write_key
 
 
 @click.group(epilog=CODES, context_settings={"help_option_names": ["-h", "--help"]})
@@ -92,13 +93,18 @@
         fleet = read_fleet(file)
         if keys:
             read_keys(fleet)
+            read_agent_keys(fleet)
     except SettingsError as error:
         fail(str(error))
     out.print(f"{file}: fleet {fleet.name}, {len(fleet.operators)} operators,"
               f" {sum(len(host.instances) for host in fleet.hosts)} instances", highlight=False)
     for host in fleet.hosts:
         out.print(f"  {host.site}/{host.name} at {host.agent[0]}:{host.agent[1]}:"
-                  f" {len(host.instances)} instances, at most {host.away} out at once", highlight=False)
+                  f" {len(host.instances)} instances" + (
+                  "" if fleet.keepers else f", at most {host.away} out at once"), highlight=False)
+    if fleet.keepers:
+        out.print(f"  keepers of a new record: {', '.join(fleet.keepers.hosts)}; at most {fleet.keepers.away}"
+                  f" out at once, and by site {fleet.sites}", highlight=False)
 
 
 @settings_group.command("key")
@@ -132,5 +138,5 @@
     sys.exit(play(lasts or 0, rate))
 
 
-for command in (ls, show, watch, orders, *COMMANDS):
+for command in (ls, show, watch, orders, *COMMANDS, keepers, places):
     main.add_command(command)  # type: ignore[arg-type]
--- a/oakkeel/cli/ordering.py
+++ b/oakkeel/cli/ordering.py
@@ -12,6 +12,7 @@
 from rich.table import Table
 
 from oakkeel.agent import messages
+from oakkeel.cli.choosing import choose, sure
 from oakkeel.cli.common import (
     CODES,
     DONE,
@@ -24,18 +25,17 @@
     err,
     fail,
     fleet_options,
-    interactive,
     out,
     print_json,
     run,
 )
-from oakkeel.fleet.choosing import Choice, taken_out
+from oakkeel.cli.record import agree, end
+from oakkeel.fleet.choosing import Choice
 from oakkeel.fleet.following import Followed, Following, Result
 from oakkeel.tables.times import span
 
 OPEN, GOOD = ("waiting", "acting"), ("done",)
 CODES_OF = {Result.DONE: DONE, Result.SOME_FAILED: SOME_FAILED, Result.SOME_SILENT: SOME_SILENT}
-ASK_ABOVE = 0.34  # of a site, taken out by one order: from there on it is asked first
 LOOK_EVERY = 0.25  # seconds, at an order that is carried out
 
 
@@ -50,18 +50,27 @@
                   help="What has not ended by then counts as failed.")
     @click.option("--supersede", is_flag=True,
                   help="End another operator's open order on the same instances.")
+    @click.option("--whole", is_flag=True, help="All or nothing, in a fleet with keepers.")
     @click.option("--id", "ident", metavar="ID", help="Of the order: the same once more is carried out once.")
     @fleet_options
     def command(names: tuple[str, ...], sites: tuple[str, ...], hosts: tuple[str, ...],
                 states: tuple[str, ...],
-                everything: bool, yes: bool, no_wait: bool, lasts: int, supersede: bool, ident: str | None,
-                settings: str, operator: str | None, deadline: int | None, output: str) -> None:
+                everything: bool, yes: bool, no_wait: bool, lasts: int, supersede: bool, whole: bool,
+                ident: str | None, settings: str, operator: str | None, deadline: int | None,
+                output: str) -> None:
         choice = Choice(names, sites, hosts, states)
         if choice.all != everything:
             fail("say which instances: names, --site, --host or --state, or else --all")
         asker = Asker(settings, operator, deadline)
-        run(carry_out(asker, verb, choice, takes_out and not yes, lasts, supersede,
-                      ident or secrets.token_hex(6), no_wait, output == "json"))
+        ident = ident or secrets.token_hex(6)
+        if asker.fleet.keepers and takes_out:
+            if supersede:
+                fail("a record knows no --supersede: halt or cancel the order that stands")
+            run(agree(asker, verb, choice, not yes, lasts, whole, ident, no_wait, output == "json"))
+        if whole:
+            fail("--whole needs keepers in the settings: each agent of this fleet is on its own")
+        run(carry_out(asker, verb, choice, takes_out and not yes, lasts, supersede, ident, no_wait,
+                      output == "json"))
 
     return command
 
@@ -69,17 +78,9 @@
 async def carry_out(asker: Asker, verb: str, choice: Choice, ask_first: bool, lasts: int, supersede: bool,
                     ident: str, no_wait: bool, as_json: bool) -> int:
     """Look, order each agent its part, follow it to its end, and tell what became of every instance."""
-    rows = await asker.look()
-    chosen = asker.chosen(rows, choice)
-    if not chosen:
-        fail("no instance is meant by all of that")
-    if ask_first and (much := taken_out(rows, chosen, ASK_ABOVE)):
-        for line in much:
-            err.print(line, style="yellow", markup=False)
-        if not interactive():
-            fail("that is more than a third of a site: say --yes")
-        if not click.confirm(f"{verb} all the same?", err=True):
-            return USAGE
+    rows, chosen = await choose(asker, choice)
+    if ask_first and not sure(verb, rows, chosen):
+        return USAGE
     following = Following(ident, verb, chosen, lasts, supersede)
     answers, silent = await asker.agents.ask(following.wishes(), asker.deadline)
     for host, answer in answers.items():
@@ -127,10 +128,15 @@
 def cancel(ident: str, settings: str, operator: str | None, deadline: int | None, output: str) -> None:
     """End what an order has not begun. What has begun goes on, and the answer says so.
 
+    In a fleet with keepers what it took out comes back: an instance that drains takes work again, one that
+    has ended is started.
+
     \b
     Example: oakkeel cancel 3f9a01c2d4e5
     """
     asker = Asker(settings, operator, deadline)
+    if asker.fleet.keepers:
+        run(end(asker, ident, True, output == "json"))
 
     async def work() -> int:
         hosts = [host.name for host in asker.fleet.hosts]
@@ -150,6 +156,21 @@
     run(work())
 
 
+@click.command(epilog=CODES)
+@click.argument("ident", metavar="ORDER")
+@fleet_options
+def halt(ident: str, settings: str, operator: str | None, deadline: int | None, output: str) -> None:
+    """Let nothing further leave by an order of the fleet. What has left stays out; `cancel` brings it back.
+
+    \b
+    Example: oakkeel halt 3f9a01c2d4e5
+    """
+    asker = Asker(settings, operator, deadline)
+    if not asker.fleet.keepers:
+        fail("halt needs keepers in the settings; cancel ends what an order has not begun")
+    run(end(asker, ident, False, output == "json"))
+
+
 COMMANDS: list[Callable] = [
     ordering("drain", True, "Take instances out of service: each answers what it has read, and ends.",
              "oakkeel drain --host wb1"),
@@ -159,4 +180,5 @@
     ordering("restart", True, "Drain instances and start them anew, no more at once than their site allows.",
              "oakkeel restart --site st-james --yes"),
     cancel,
+    halt,
 ]
--- a/oakkeel/fleet/agents.py
+++ b/oakkeel/fleet/agents.py
@@ -5,50 +5,39 @@
 import asyncio
 import contextlib
 import secrets
-import socket
 import time
 from collections.abc import Callable
 
 import msgspec
-from tornado.iostream import IOStream, StreamClosedError
 
 from oakkeel.agent import messages
 from oakkeel.fleet.asking import Asked, Asking
+from oakkeel.fleet.leading import Leader, Search
 from oakkeel.fleet.view import View
-from oakkeel.sealing.frames import HELLO, LONGEST_ANSWER, REFUSED, BadFrame, frame, read_frame
-from oakkeel.sealing.marks import NONCE, SECOND, Key, Refused, Sender
+from oakkeel.sealing.link import Link, LinkError, LinkRefused
+from oakkeel.sealing.marks import SECOND, Key
 from oakkeel.settings.fleet import Fleet
 
+AgentError, AgentRefused = LinkError, LinkRefused
 
-class AgentError(OSError):
-    """No answer; the text says why."""
 
+class NoLeader(OSError):
+    """Nobody leads the record that we reach; `why` says for each host what it answered."""
 
-class AgentRefused(AgentError):
-    """The agent takes nothing from us, or what answers is not the agent."""
+    def __init__(self, why: dict[str, str]) -> None:
+        super().__init__("no agent that we reach leads the record")
+        self.why = why
 
 
 async def ask_one(address: tuple[str, int], key: Key, wish: messages.Wish) -> messages.Answer:
     """One question on a link of its own. Raises AgentError; waits as long as the other side does."""
-    stream = IOStream(socket.socket(), max_buffer_size=LONGEST_ANSWER + 4)
+    link = Link(address, key)
     try:
-        await stream.connect(address)
-        hello = await read_frame(stream)
-        if not hello.startswith(HELLO) or len(hello) != len(HELLO) + NONCE:
-            raise AgentRefused("no agent of this version listens there")
-        sender = Sender(key, hello[len(HELLO):], lambda: secrets.token_bytes(NONCE), time.time_ns)
-        stream.write(frame(sender.seal(messages.encode(wish))))
-        answer = await read_frame(stream, LONGEST_ANSWER)
-        if answer == REFUSED:
-            raise AgentRefused(f"it refuses key {key.ident}; its log says why")
-        return messages.read_answer(sender.open(answer))
-    except Refused as error:
-        raise AgentRefused(str(error)) from None
-    except (StreamClosedError, BadFrame, msgspec.MsgspecError) as error:
-        real = getattr(error, "real_error", None) or error
-        raise AgentError(getattr(real, "strerror", None) or str(real) or "the link ended") from None
+        return messages.read_answer(await link.ask(messages.encode(wish)))
+    except msgspec.MsgspecError as error:
+        raise AgentError(str(error)) from None
     finally:
-        stream.close()
+        link.close()
 
 
 class Agents:
@@ -102,6 +91,32 @@
         return answers, {name: why(target.state, target.why) for name, target in asking.targets.items()
                          if target.state is not Asked.ANSWERED}
 
+    async def ask_leader(self, wish: messages.Wish, deadline: int = 0) -> messages.Answer:
+        """What the agent that leads the record answers. Raises NoLeader; `deadline` in nanoseconds."""
+        assert self.fleet.keepers is not None
+        others = [host.name for host in self.fleet.hosts if host.name not in self.fleet.keepers.hosts]
+        search = Leader(time.monotonic_ns(), [*self.fleet.keepers.hosts, *others],
+                        deadline or 3 * self.fleet.asking.deadline)
+        while search.state is Search.ASKING:
+            now = time.monotonic_ns()
+            if not (name := search.whom(now)):
+                await asyncio.sleep(max(0, min(search.not_before, search.deadline) - now) / SECOND)
+                continue
+            try:
+                left = min(self.fleet.asking.deadline, max(1, search.deadline - now))
+                answer = await asyncio.wait_for(ask_one(self.fleet.host(name).agent, self.key, wish),
+                                                left / SECOND)
+            except TimeoutError:
+                search.failed(time.monotonic_ns(), name, "did not answer")
+            except OSError as error:
+                search.failed(time.monotonic_ns(), name, str(error))
+            else:
+                if not isinstance(answer, messages.Elsewhere):
+                    search.found()
+                    return answer
+                search.elsewhere(time.monotonic_ns(), name, answer.leader, answer.why)
+        raise NoLeader(search.why)
+
     async def look(self, view: View, hosts: list[str] | None = None, deadline: int = 0) -> None:
         """Bring a view up to date, as far as agents answer."""
         names = hosts if hosts is not None else [host.name for host in self.fleet.hosts]
--- a/oakkeel/sealing/marks.py
+++ b/oakkeel/sealing/marks.py
@@ -22,8 +22,9 @@
 
 
 class Role(IntEnum):
-    """What a key allows; each includes the one before."""
+    """What a key allows; `ACT` includes `VIEW`, and `AGENT` is for agents among themselves alone."""
 
+    AGENT = 0
     VIEW = 1
     ACT = 2
 
--- a/oakkeel/settings/fleet.py
+++ b/oakkeel/settings/fleet.py
@@ -43,6 +43,7 @@
     config: str  # the platform's JSON
     listen: str  # in place of what that says; empty: as it says
     log: str
+    below: tuple[str, ...] = ()  # services that it can't do without
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +56,27 @@
     state: str  # folder
     away: int  # of its instances that may be out at one time: its part of what its site allows
     instances: tuple[InstanceSettings, ...]
+    key: str = ""  # path of the key that its agent marks with
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """One that instances hang on; it is not ours to start or stop."""
+
+    name: str
+    kind: str
+    address: tuple[str, int]
+    host: str  # whose agent watches it
+
+
+@dataclass(slots=True, frozen=True)
+class Keepers:
+    """What a fleet that keeps a record has beside the rest."""
+
+    hosts: tuple[str, ...]  # that begin a new record
+    away: int  # of all instances, that may be out at one time
+    kinds: dict[str, int]  # the same of services, by kind
+    services: tuple[Service, ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +115,7 @@
     sites: dict[str, int]  # how many of each may be out at one time
     hosts: tuple[HostSettings, ...]
     fairness: Fairness | None = None
+    keepers: Keepers | None = None  # None: each agent is on its own
 
     def host(self, name: str) -> HostSettings:
         for host in self.hosts:
@@ -184,10 +207,11 @@
         for site in root.iter(SPACE + "site"):
             sites[site.get("name")] = int(site.get("away"))
             hosts += self._hosts(site)
+        keepers = self._keepers(root, hosts, sum(sites.values()))
         if self.faults:
             raise SettingsError("\n".join(self.faults))
         return Fleet(root.get("name"), self.path, operators, supervision, Asking(**asking), sites,
-                     tuple(hosts), fairness)
+                     tuple(hosts), fairness, keepers)
 
     def _fault(self, element: Any, text: str) -> None:
         self.faults.append(f"{self.path}:{element.sourceline}: <{etree.QName(element).localname}> {text}")
@@ -225,6 +249,37 @@
             numbers["snapshot"] = element.get("snapshot") in ("true", "1")
         return Fairness(tuple(element.get("by").split()), weights, **numbers)
 
+    def _keepers(self, root: Any, hosts: list[HostSettings], all_sites: int) -> Keepers | None:
+        """What the record needs to be told; None where the fleet has none."""
+        services = []
+        kinds = {kind.get("name"): int(kind.get("away")) for kind in root.iter(SPACE + "kind")}
+        names = {host.name for host in hosts}
+        self._unique(root.iter(SPACE + "kind"), "name")
+        self._unique([*root.iter(SPACE + "instance"), *root.iter(SPACE + "service")], "name")
+        for element in root.iter(SPACE + "service"):
+            if element.get("host") not in names:
+                self._fault(element, f"host: there is no host {element.get('host')!r}")
+            services.append(Service(element.get("name"), element.getparent().get("name"),
+                                    self._address(element, "address"), element.get("host")))
+        known = {service.name for service in services}
+        for element in root.iter(SPACE + "instance"):
+            for name in element.get("below", "").split():
+                if name not in known:
+                    self._fault(element, f"below: there is no service {name!r}")
+        found = root.find(SPACE + "keepers")
+        if found is None:
+            return None
+        told = tuple(found.get("hosts").split())
+        if len(told) not in (1, 3, 5) or len(set(told)) != len(told):
+            self._fault(found, "hosts: three or five are asked for, or one for a trial, each once")
+        for name in told:
+            if name not in names:
+                self._fault(found, f"hosts: there is no host {name!r}")
+        for element in root.iter(SPACE + "host"):
+            if not element.get("key"):
+                self._fault(element, "key: agents that agree need one each")
+        return Keepers(told, int(root.get("away") or all_sites), kinds, tuple(services))
+
     def _path(self, text: str) -> str:
         """Relative to the settings."""
         return os.path.normpath(os.path.join(self.folder, text))
@@ -243,7 +298,7 @@
         parts = [int(each) if each is not None else 0 for each in told]
         for index, share in zip(free, shares, strict=True):
             parts[index] = share
-            if not share:
+            if not share and site.getparent().find(SPACE + "keepers") is None:  # else places are lent
                 self._fault(elements[index],
                             f"away: nothing is left for it of the {allowed} of its site, so no"
                             " order could take an instance out; allow the site more, or tell it 0")
@@ -251,13 +306,15 @@
             element.get("name"), site.get("name"), self._address(element), self._path(element.get("state")),
             part,
             tuple(InstanceSettings(each.get("name"), self._path(each.get("config")), each.get("listen", ""),
-                                   each.get("log", "console")) for each in element.iter(SPACE + "instance")))
+                                   each.get("log", "console"), tuple(each.get("below", "").split()))
+                  for each in element.iter(SPACE + "instance")),
+            self._path(element.get("key")) if element.get("key") else "")
             for element, part in zip(elements, parts, strict=True)]
 
-    def _address(self, element: Any) -> tuple[str, int]:
-        host, _, port = element.get("agent").rpartition(":")
+    def _address(self, element: Any, attribute: str = "agent") -> tuple[str, int]:
+        host, _, port = element.get(attribute).rpartition(":")
         if not 0 < int(port) < 65536:
-            self._fault(element, f"agent: {port} is no port; 1 to 65535 are")
+            self._fault(element, f"{attribute}: {port} is no port; 1 to 65535 are")
         return host, int(port)
 
 
--- a/oakkeel/settings/keys.py
+++ b/oakkeel/settings/keys.py
@@ -7,12 +7,22 @@
 from oakkeel.sealing.marks import SECRET, Key, Role
 from oakkeel.settings.fleet import Fleet, KeyFile, Operator, SettingsError
 
+AGENT = "agent:"  # before the names of hosts, so that no operator's key has the same
+
 
 def read_keys(fleet: Fleet) -> dict[str, Key]:
     """All keys that an agent takes, by id. Raises SettingsError."""
     return {file.ident: _key(operator, file) for operator in fleet.operators for file in operator.keys}
 
 
+def read_agent_keys(fleet: Fleet) -> dict[str, Key]:
+    """The keys that agents mark with among themselves, by host. Raises SettingsError."""
+    if fleet.keepers is None:
+        return {}
+    return {host.name: Key(f"{AGENT}{host.name}", host.name, Role.AGENT, _secret(host.key))
+            for host in fleet.hosts}
+
+
 def key_of(fleet: Fleet, name: str) -> Key:
     """The key that an operator marks with: the first whose file is here. Raises SettingsError."""
     operator = fleet.operator(name)
@@ -23,20 +33,25 @@
 
 
 def _key(operator: Operator, file: KeyFile) -> Key:
+    return Key(file.ident, operator.name, Role.ACT if operator.acts else Role.VIEW, _secret(file.path),
+               file.until)
+
+
+def _secret(path: str) -> bytes:
     try:
-        if os.stat(file.path).st_mode & 0o077:
-            raise SettingsError(f"{file.path}: others may read this key; mode 600 is asked for")
-        with open(file.path, encoding="ascii") as opened:
+        if os.stat(path).st_mode & 0o077:
+            raise SettingsError(f"{path}: others may read this key; mode 600 is asked for")
+        with open(path, encoding="ascii") as opened:
             secret = bytes.fromhex(opened.read(2 * SECRET + 2).strip())
     except OSError as error:
-        raise SettingsError(f"{file.path}: {error.strerror}") from None
+        raise SettingsError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         if isinstance(error, SettingsError):
             raise
         secret = b""
     if len(secret) != SECRET:
-        raise SettingsError(f"{file.path}: no key; {2 * SECRET} hexadecimal digits are asked for")
-    return Key(file.ident, operator.name, Role.ACT if operator.acts else Role.VIEW, secret, file.until)
+        raise SettingsError(f"{path}: no key; {2 * SECRET} hexadecimal digits are asked for")
+    return secret
 
 
 def write_key(path: str, secret: bytes) -> None:
--- /dev/null
+++ b/oakkeel/standins/agent.py
@@ -0,0 +1,57 @@
+"""An agent over stand-in nodes, with faults that files in its state folder switch on: `... SETTINGS HOST`.
+
+`full`: its disk is full, by SQLite's own bound, so that a write fails in its middle. `clock`: seconds by
+which its clock for people is off. `real`: its nodes are real ones. It logs in JSON, each line with the
+monotonic time, which all processes of a machine share.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from oakkeel.agent.__main__ import serve
+from oakkeel.agent.agent import Agent
+from oakkeel.log import Log
+from oakkeel.store.durable import Statement, Store
+
+NODE = (sys.executable, "-m", "oakkeel.standins.node")
+_write, _time_ns = Store.write, time.time_ns
+
+
+def write(self: Store, statements: Sequence[Statement]) -> None:
+    """With as many pages as it has by now, while the disk is said to be full."""
+    full = os.path.exists(os.path.join(os.path.dirname(self.path), "full"))
+    pages = self._number("page_count") if full else 65536
+    self.base.execute(f"PRAGMA max_page_count = {pages}")
+    if full:  # more than the free pages of the file can hold
+        statements = [*statements, ("CREATE TABLE padding AS SELECT zeroblob(4000000) AS nothing", ())]
+    _write(self, statements)
+
+
+def shifted(folder: str) -> int:
+    path = os.path.join(folder, "clock")
+    with contextlib.suppress(OSError, ValueError), open(path, encoding="ascii") as file:
+        return _time_ns() + int(float(file.read()) * 1_000_000_000)
+    return _time_ns()
+
+
+class TimedLog(Log):
+    def say(self, event: str, **facts: Any) -> None:
+        super().say(event, **facts, mono=time.monotonic_ns())
+
+
+def make(host: Any, patience: Any, keys: Any, log: Log, seed: int, **more: Any) -> Agent:
+    Store.write = write  # type: ignore[method-assign]
+    time.time_ns = lambda: shifted(host.state)  # type: ignore[assignment]
+    if not os.path.exists(os.path.join(host.state, "real")):
+        more["program"] = NODE
+    return Agent(host, patience, keys, TimedLog(host.name, 1000, "json"), seed, **more)
+
+
+if __name__ == "__main__":
+    sys.exit(serve(sys.argv[1], sys.argv[2], "json", make))
--- a/oakkeel/standins/dispatcher.py
+++ b/oakkeel/standins/dispatcher.py
@@ -97,12 +97,16 @@
                 ident = f"{self.random.getrandbits(64):016x}"
                 fields = (f"req={ident},ts={time.time_ns() // 1_000_000},via={self.number},"
                           f"timeout={int(self.patience * 1000)},need=24.5,level=0.5")
-                link.call(Sent(name, time.monotonic(), self.random.choice(self.groups)), fields,
-                          ident.encode())
+                sent = Sent(name, time.monotonic(), self.random.choice(self.groups))
+                self.going(ident, sent)
+                link.call(sent, fields, ident.encode())
                 self.counts["sent"] += 1
                 return
         self.counts["unsent"] += 1  # no node took a connection
 
+    def going(self, ident: str, sent: Sent) -> None:
+        """For those who want to know of each exchange that is sent."""
+
     async def _link(self, name: str, address: Address) -> Link | None:
         for link in self.links.get(name, ()):
             if link.usable:
--- a/oakkeel/standins/engine.py
+++ b/oakkeel/standins/engine.py
@@ -29,6 +29,7 @@
         self.on_cores = 0
         self.lost_at = 0.0  # when a link ended last
         self.started: dict[bytes, int] = {}  # how often each run was begun: more than once is a double effect
+        self.begun: dict[bytes, float] = {}  # when each run was begun, monotonic seconds
         self.link: asyncio.StreamWriter | None = None
         self.server: asyncio.Server | None = None
 
@@ -91,6 +92,7 @@
 
     async def _run(self, ident: bytes, body: bytes) -> None:
         self.started[ident] = self.started.get(ident, 0) + 1
+        self.begun.setdefault(ident, time.monotonic())
         end = b"failure"
         try:
             work = self.work * (0.5 + self.chance()) * self.factor
--- a/oakkeel/standins/node.py
+++ b/oakkeel/standins/node.py
@@ -2,7 +2,9 @@
 
 How it behaves stands in NAME.script beside its control socket, read again before each answer. Words: `mute`
 accepts and never answers, `old` answers with an earlier generation, `crash` ends at the start with code 3,
-`deaf` does not leave, `cold` says that it is cold. Each start and end is a line in NAME.journal.
+`deaf` does not leave, `cold` says that it is cold, `linger` takes a second to leave, `slow` is cold for a
+second at its start. What happens to it is a line in NAME.journal: a word, its generation, its pid, and the
+monotonic time.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 import signal
 import socket
 import sys
+import time
 
 
 class NodeStandin:
@@ -21,11 +24,14 @@
         self.path = os.environ["OAKKEEL_CONTROL"]
         self.base = self.path.removesuffix(".sock")
         self.generation = int(os.environ["OAKKEEL_GENERATION"])
-        self.leaving = False
+        self.began = time.monotonic()
+        self.leaving = 0.0  # since when; 0: it stays
+        self.final = False
+        self.up = False
 
     def note(self, word: str) -> None:
         with open(self.base + ".journal", "a", encoding="ascii") as file:
-            file.write(f"{word} {self.generation} {os.getpid()}\n")
+            file.write(f"{word} {self.generation} {os.getpid()} {time.monotonic_ns()}\n")
 
     def script(self) -> list[str]:
         with contextlib.suppress(OSError), open(self.base + ".script", encoding="ascii") as file:
@@ -33,7 +39,36 @@
         return []
 
     def leave(self, *_: object) -> None:
-        self.leaving = True
+        """SIGTERM: nothing takes it back."""
+        self.final = True
+        self.leave_for_now()
+
+    def leave_for_now(self) -> None:
+        if not self.leaving:
+            self.leaving, self.up = time.monotonic(), False
+            self.note("leave")
+
+    def stay(self) -> str:
+        if self.final:
+            return "it leaves for good"
+        if self.leaving:
+            self.leaving = 0.0
+            self.note("stay")
+        return ""
+
+    def over(self, script: list[str]) -> bool:
+        lasts = 1.0 if "linger" in script else 0.0
+        return bool(self.leaving) and "deaf" not in script and time.monotonic() - self.leaving >= lasts
+
+    def state(self, script: list[str]) -> str:
+        if self.leaving:
+            return "draining"
+        if "cold" in script or "slow" in script and time.monotonic() - self.began < 1.0:
+            return "cold"
+        if not self.up:
+            self.up = True
+            self.note("up")
+        return "serving"
 
     def run(self) -> int:
         signal.signal(signal.SIGTERM, self.leave)
@@ -47,7 +82,7 @@
         server.listen(8)
         watched = selectors.DefaultSelector()
         watched.register(server, selectors.EVENT_READ)
-        while not self.leaving or "deaf" in self.script():
+        while not self.over(self.script()):
             for key, _ in watched.select(0.02):
                 if key.fileobj is server:
                     watched.register(server.accept()[0], selectors.EVENT_READ)
@@ -61,10 +96,20 @@
         asked = link.recv(4096)
         if not asked or "mute" in (script := self.script()):
             return bool(asked)
-        report = {"type": "report", "tag": json.loads(asked)["tag"], "name": os.environ["PROXY_NAME"],
-                  "pid": os.getpid(), "generation": self.generation - ("old" in script),
-                  "state": "cold" if "cold" in script else "serving", "address": "127.0.0.1:1", "uptime": 1}
-        link.sendall(json.dumps(report).encode() + b"\n")
+        for line in asked.splitlines():
+            wish = json.loads(line)
+            if wish["type"] in ("leave", "stay"):
+                why = f"this is generation {self.generation}" if wish["generation"] != self.generation else ""
+                if not why and wish["type"] == "stay":
+                    why = self.stay()
+                elif not why:
+                    self.leave_for_now()
+                answer = {"type": "told", "tag": wish["tag"], "done": not why, "why": why}
+            else:
+                answer = {"type": "report", "tag": wish["tag"], "name": os.environ["PROXY_NAME"],
+                          "pid": os.getpid(), "generation": self.generation - ("old" in script),
+                          "state": self.state(script), "address": "127.0.0.1:1", "uptime": 1}
+            link.sendall(json.dumps(answer).encode() + b"\n")
         return True
 
 
--- a/oakkeel/standins/site.py
+++ b/oakkeel/standins/site.py
@@ -33,8 +33,12 @@
 
     def __init__(self, folder: str, hosts: dict[str, list[str]], away: int, seed: int = 1,
                  work: float = 0.005,
-                 supervision: str = "", sites: dict[str, str] | None = None, most_return: int = 1) -> None:
-        """`hosts` names the instances of each; `sites` the site of each host, where there are several."""
+                 supervision: str = "", sites: dict[str, str] | None = None, most_return: int = 1,
+                 keepers: tuple[str, ...] = (), fleet_away: int = 0, below: str = "",
+                 hanging: dict[str, str] | None = None) -> None:
+        """`hosts` names the instances of each; `sites` the site of each host, where there are several;
+        `below` is the element of that name, and `hanging` names the services of some instances."""
+        self.keepers, self.fleet_away, self.below, self.hanging = keepers, fleet_away, below, hanging or {}
         self.folder, self.hosts, self.away, self.seed, self.work = folder, hosts, away, seed, work
         self.supervision = supervision
         self.told = {**TOLD, "ceilings": {"retry-after": True, "max-retry-after": most_return * SECOND}}
@@ -57,26 +61,39 @@
                 json.dump(told, file)
         for key in ("asha", "lena", "ravi"):
             write_key(os.path.join(self.folder, f"{key}.key"), secrets.token_bytes(32))
+        for host in self.hosts if self.keepers else ():
+            write_key(os.path.join(self.folder, f"{host}.key"), secrets.token_bytes(32))
         self.write_settings()
 
     def write_settings(self, **operators: str) -> None:
         """`operators`: the whole elements of those that are not as they were at first."""
+        self.write_to(self.settings, {}, **operators)
+
+    def write_to(self, path: str, ports: dict[str, int], **operators: str) -> None:
+        """With other ports of agents, as far as told: what stands between hosts."""
         element = '<operator name="{0}" role="{1}"><key id="{0}-1" file="{0}.key"/></operator>'
         first = {name: element.format(name, role)
                  for name, role in (("asha", "act"), ("ravi", "act"), ("lena", "view"))}
         told = first | operators
-        lines = ['<fleet xmlns="urn:oakkeel:fleet:1" name="guild">', "  <operators>",
+        away = f' away="{self.fleet_away}"' if self.fleet_away else ""
+        lines = [f'<fleet xmlns="urn:oakkeel:fleet:1" name="guild"{away}>', "  <operators>",
                  *(f"    {each}" for each in told.values()), "  </operators>", f"  {self.supervision}"]
+        if self.keepers:
+            lines += [f'  <keepers hosts="{" ".join(self.keepers)}"/>', f"  {self.below}"]
         for site in dict.fromkeys(self.sites.values()):
             lines.append(f'  <site name={quoteattr(site)} away="{self.away}">')
             for host, names in self.hosts.items():
                 if self.sites[host] != site:
                     continue
-                lines.append(f'    <host name="{host}" agent="127.0.0.1:{self.ports[host]}" state="{host}">')
-                lines += [f'      <instance name="{name}" config="{name}.json"/>' for name in names]
+                key = f' key="{host}.key"' if self.keepers else ""
+                port = ports.get(host, self.ports[host])
+                lines.append(f'    <host name="{host}" agent="127.0.0.1:{port}" state="{host}"{key}>')
+                for name in names:
+                    below = f' below="{self.hanging[name]}"' if name in self.hanging else ""
+                    lines.append(f'      <instance name="{name}" config="{name}.json"{below}/>')
                 lines.append("    </host>")
             lines.append("  </site>")
-        with open(self.settings, "w", encoding="utf-8") as file:
+        with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join([*lines, "</fleet>", ""]))
 
     async def close(self) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -372,7 +372,7 @@
             orders = await ask_one(host.agent, key, messages.ListOrders())
             self.assertEqual([part.state for part in orders.orders[0].parts], ["done"], f"step {step}")
             with open(os.path.join(host.state, "n1.journal")) as file:
-                words = [line.split()[:2] for line in file]
+                words = [line.split()[:2] for line in file if line.startswith(("start ", "end "))]
             self.assertEqual([word for word, _ in words], ["start", "end", "start"], f"step {step}: {words}")
             return not died
         finally:
@@ -406,7 +406,7 @@
         agent = await self.agent()
         await self.serving(agent)
         recorded: list[bytes] = []
-        with mock.patch("oakkeel.fleet.agents.frame", lambda content: recorded.append(frame(content))
+        with mock.patch("oakkeel.sealing.link.frame", lambda content: recorded.append(frame(content))
                         or recorded[-1]):
             await self.ask(messages.Order("o1", "start", [("n1", 1)], SECOND))
         generation = self.of(agent, "n1").generation
