--- /dev/null
+++ b/oakkeel/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of promises from what is seen outside. Imports nothing of what it checks."""
--- /dev/null
+++ b/oakkeel/emulator/agreement.py
@@ -0,0 +1,581 @@
+"""Keepers and agents in simulated time: the decisions of agents, on a network and disks that fail.
+
+A host has a clock of its own rate, a disk, a keeper where it is one, and an agent with instances. What is not
+on its disk is gone when it is killed. `play` returns what the auditor found; a failing schedule can be cut
+down by `smallest` and played again.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from oakkeel.agent.deciding import Deciding
+from oakkeel.agent.instances import Goal, Instance, Phase
+from oakkeel.agent.orders import Orders
+from oakkeel.agent.supervision import Act, Patience, Step, Supervision
+from oakkeel.audit.agreement import AgreementAudit
+from oakkeel.emulator.clock import Clock
+from oakkeel.emulator.troubles import MS, SECOND, Schedule, Trouble
+from oakkeel.places import commands
+from oakkeel.places.granting import Terms
+from oakkeel.places.holding import Holding
+from oakkeel.places.layout import Group, Layout
+from oakkeel.places.ledger import OPEN, Refusal
+from oakkeel.places.steward import Steward
+from oakkeel.places.words import Agreed, Poll
+from oakkeel.record.disk import Disk
+from oakkeel.record.keeper import Durable, NotLeading, Proposal, Role, Steps
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import Letter
+
+TURN, ASK, POLL = 100 * MS, 100 * MS, 150 * MS
+PACE, TERMS = Pace(fold=64), Terms()
+PATIENCE = Patience(backoff=300 * MS, steady=2 * SECOND, drain=3 * SECOND)
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """One process of an instance."""
+
+    generation: int
+    up_at: int  # when it serves
+    leaving: int = 0  # when it ends; 0: it stays
+
+
+@dataclass(slots=True, eq=False)
+class Saved:
+    """What an agent has on disk."""
+
+    places: list[tuple[str, int, str, bool]] = field(default_factory=list)
+    epoch: str = ""
+    generations: dict[str, int] = field(default_factory=dict)
+    orders: Orders | None = None
+
+
+class Host:
+    """One host with all that runs on it. `now` gives its own clock, `world.clock` the true one."""
+
+    def __init__(self, world: World, name: str, things: tuple[str, ...], founders: tuple[str, ...]) -> None:
+        self.world, self.name, self.things, self.founders = world, name, things, founders
+        self.random = Random(f"{world.schedule.seed} {name}")
+        self.rate, self.offset = 1 + self.random.uniform(-0.015, 0.015), self.random.randrange(10 * SECOND)
+        self.lives = 0
+        self.disk: Disk | None = None
+        self.backup: Disk | None = None
+        self.saved = Saved()
+        self.processes: dict[str, Process] = {}
+        self.running = self.stopped = self.full = False
+        self.crash_in = 0  # at the next step that writes: 1 before it, 2 after
+        self.stop_in = 0  # for so long, at the next answer that grants something
+        self.start()
+
+    def now(self) -> int:
+        return self.offset + int(self.world.clock.now * self.rate)
+
+    # Start and end.
+
+    def start(self) -> None:
+        self.running, self.lives = True, self.lives + 1
+        self.steward: Steward | None = None
+        self.waiting: list[Callable[[], None]] = []  # while it is stopped
+        self.leader = self.name
+        self.polled_at = -SECOND
+        self._start_keeper()
+        self._start_agent()
+        lives = self.lives
+        self.world.clock.after(self.random.randrange(TURN), self._turn, lives)
+        self.world.clock.after(1, self._beat, lives)
+
+    def _start_keeper(self) -> None:
+        world, now = self.world, self.now()
+        if self.disk is None:
+            self.disk = Disk(Durable(self.name, f"{self.name}.{self.random.getrandbits(40):x}"))
+        self.steward = Steward(now, self.disk.load(), self.random.getrandbits(60), PACE, self.founders,
+                               world.layout, TERMS)
+        self.steward.watched = self._applied
+        self.pending: dict[Proposal, Callable[[Proposal], None]] = {}
+
+    def _applied(self, index: int, command: commands.Command, result: object) -> None:
+        audit = self.world.audit
+        audit.applied(self.world.clock.now, self.name, index, commands.encode(command))
+        if self.steward and isinstance(command, commands.Halt | commands.Cancel | commands.Over
+                                       | commands.Lapse):
+            for order in self.steward.ledger.held.orders.values():
+                if order.halted and all(part.state not in ("waiting", "granted")
+                                        for part in order.parts.values()):
+                    audit.halt_holds(order.ident)
+
+    def _start_agent(self) -> None:
+        now, saved = self.now(), self.saved
+        fresh = saved.orders is None
+        self.holding = Holding(self.name, self.things, self.random.getrandbits(40))
+        self.holding.restore(saved.epoch, saved.places, saved.generations)
+        if saved.orders is None:
+            instances = [Instance(name, "site", since=now) for name in self.things]
+            self.supervision = Supervision(instances, PATIENCE, {}, self.random.getrandbits(40), self.now)
+            self.orders = Orders(self.supervision, self.now, holding=self.holding)
+        else:
+            self.orders = copy.deepcopy(saved.orders)
+            self.supervision = self.orders.supervision
+            self.supervision.unix = self.orders.unix = self.now
+            self.orders.holding = self.holding
+        self.deciding = Deciding(self.supervision, self.orders, self.holding, block=8)
+        if fresh:
+            self.deciding.lost_file()
+        for each in self.supervision.instances:
+            each.since = each.since if fresh else now
+            process = self.processes.get(each.name)
+            if process:
+                self.supervision.taken_up(now, each, process.generation)
+            else:
+                self.supervision.found_none(now, each, each.born)
+
+    def kill(self) -> None:
+        """Its agent and keeper, by SIGKILL; its instances go on."""
+        self.running = self.stopped = False
+        self.lives += 1
+
+    # Turns.
+
+    def _beat(self, lives: int) -> None:
+        """The keeper's timer."""
+        if lives != self.lives:
+            return
+        if self.stopped:
+            return self.waiting.append(lambda: self._beat(lives))
+        steward = self.steward
+        if steward:
+            self.carry_out(steward.tick(self.now()))
+            if lives == self.lives and self.steward:
+                wait = max(MS, int((self.steward.keeper.next_at() - self.now()) / self.rate))
+                if self.steward.granting:
+                    wait = min(wait, 50 * MS)
+                self.world.clock.after(min(wait, SECOND), self._beat, lives)
+        else:
+            self.world.clock.after(100 * MS, self._beat, lives)
+
+    def carry_out(self, all_steps: list[Steps]) -> None:
+        """Write, send, tell: in this order, or crash between."""
+        for steps in all_steps:
+            steward = self.steward
+            if steward is None or self.disk is None:
+                return
+            if steps.keep:
+                if self.crash_in == 1:
+                    self.crash_in = 0
+                    return self.world.kill(self, SECOND)
+                if self.full:  # as if it had crashed: made again from what is there
+                    self.steward = None
+                    self.world.clock.after(300 * MS, self._again, self.lives)
+                    return
+                self.disk.write(steward.keeper.durable, steps.keep)
+                if self.crash_in == 2:
+                    self.crash_in = 0
+                    return self.world.kill(self, SECOND)
+            for to, letter in steps.send:
+                self.world.send(self.name, to, letter)
+            for proposal in steps.ended:
+                if told := self.pending.pop(proposal, None):
+                    told(proposal)
+        keeper = self.steward and self.steward.keeper
+        if keeper and keeper.role is Role.LEADING:
+            self.world.audit.led(self.world.clock.now, keeper.term, keeper.life)
+        if keeper and keeper.role is Role.OUTDATED:
+            self.disk = None
+            self._start_keeper()
+
+    def _again(self, lives: int) -> None:
+        if lives == self.lives and self.steward is None:
+            if self.full:
+                self.world.clock.after(300 * MS, self._again, lives)
+            else:
+                self._start_keeper()
+
+    def heard(self, letter: Letter) -> None:
+        if self.running and self.steward:
+            if self.stopped:
+                return self.waiting.append(lambda: self.heard(letter))
+            self.carry_out(self.steward.heard(self.now(), letter))
+
+    def _turn(self, lives: int) -> None:
+        """The agent's."""
+        if lives != self.lives:
+            return
+        if self.stopped:
+            return self.waiting.append(lambda: self._turn(lives))
+        now = self.now()
+        for each in self.supervision.instances:
+            process = self.processes.get(each.name)
+            if process:
+                up = self.world.clock.now >= process.up_at
+                state = "draining" if process.leaving else "serving" if up else "cold"
+                self.supervision.heard(now, each, state, process.generation, "report")
+        if now - self.polled_at >= POLL:
+            self.polled_at = now
+            self.world.poll(self, self.deciding.poll(now), now)
+        self.act(now)
+        self.world.clock.after(TURN, self._turn, lives)
+
+    def act(self, now: int) -> None:
+        if not self.full:
+            self.orders.advance(now)
+        steps = self.supervision.tick(now)
+        if self.full:  # what is not kept is not done
+            for step in steps:
+                if step.act is Act.START and step.instance.part is not None:
+                    self.supervision.never_there(now, step.instance)
+                elif step.act in (Act.TERM, Act.LEAVE) and step.instance.part is not None:
+                    step.instance.left_at = 0
+            steps = [step for step in steps if step.instance.part is None and step.act is not Act.START]
+        else:
+            self._save()
+        for step in steps:
+            self._carry_out(step)
+        if steps and not self.full:
+            self._save()
+
+    def _save(self) -> None:
+        holding = self.holding
+        self.saved.epoch, self.saved.generations = holding.epoch, dict(holding.generations)
+        self.saved.places = [(thing, fence, held.ident if (held := holding.places.get(thing)) else "",
+                              bool(held and held.begun)) for thing, fence in holding.floors.items()]
+        holding.changed.clear()
+        self.orders.changed.clear()
+        orders, self.orders.holding = self.orders, None
+        unix = orders.unix
+        orders.unix = orders.supervision.unix = int  # type: ignore[assignment]  # set again when it is loaded
+        self.saved.orders = copy.deepcopy(orders)
+        orders.unix = orders.supervision.unix = unix
+        orders.holding = holding
+
+    def _carry_out(self, step: Step) -> None:
+        world, name, process = self.world, step.instance.name, self.processes.get(step.instance.name)
+        true = world.clock.now
+        if step.act is Act.START and process is None:
+            generation = step.instance.born
+            world.audit.started(true, name, generation)
+            self.processes[name] = Process(generation, true + self.random.randrange(100 * MS, 600 * MS))
+            self.supervision.spawned(self.now(), step.instance)
+            world.clock.at(self.processes[name].up_at, self._up, name, self.processes[name])
+        elif process and step.act in (Act.TERM, Act.LEAVE) and not process.leaving:
+            held = self.holding.places.get(name)
+            if step.instance.goal is Goal.DOWN or step.instance.part is not None:
+                world.audit.left(true, name, held.fence if held and held.begun else -1,
+                                 held.ident if held else "")
+            else:
+                world.audit.gone(true, name)
+            process.leaving = true + self.random.randrange(100 * MS, 1500 * MS)
+            world.clock.at(process.leaving, self._ended, name, process, "left")
+        elif process and step.act is Act.STAY and process.leaving:
+            process.leaving = 0
+            self._up(name, process)
+        elif process and step.act is Act.KILL:
+            self._ended(name, process, "killed", True)
+
+    def _up(self, name: str, process: Process) -> None:
+        if self.processes.get(name) is process and not process.leaving:
+            self.world.audit.serves(self.world.clock.now, name)
+
+    def _ended(self, name: str, process: Process, how: str, surely: bool = False) -> None:
+        if self.processes.get(name) is not process or not surely and not (
+                process.leaving and self.world.clock.now >= process.leaving):
+            return
+        del self.processes[name]
+        self.world.audit.gone(self.world.clock.now, name)
+        self._died(name, how, self.lives)
+
+    def _died(self, name: str, how: str, lives: int) -> None:
+        if lives != self.lives or not self.running:
+            return
+        if self.stopped:
+            return self.waiting.append(lambda: self._died(name, how, lives))
+        instance = next(each for each in self.supervision.instances if each.name == name)
+        if name not in self.processes:
+            self.supervision.died(self.now(), instance, how)
+
+    def answered(self, lives: int, sent_at: int, answer: Agreed) -> None:
+        if lives != self.lives:
+            return
+        if self.stopped:
+            return self.waiting.append(lambda: self.answered(lives, sent_at, answer))
+        now = self.now()
+        if not self.full:
+            self.deciding.answered(now, sent_at, answer)
+            if self.stop_in and any(place.good_for and not place.out for place in answer.places):
+                self.stopped = True
+                self.world.clock.after(self.stop_in, self.wake)
+                self.stop_in = 0
+                return self.waiting.append(lambda: self.act(self.now()))
+            self.act(now)
+
+    def wake(self) -> None:
+        self.stopped = False
+        waiting, self.waiting = self.waiting, []
+        for act in waiting:
+            act()
+
+
+class World:
+    def __init__(self, schedule: Schedule, plant: Callable[[World], None] | None = None) -> None:
+        self.schedule, self.clock = schedule, Clock()
+        self.random = Random(schedule.seed)
+        names = [f"h{number}" for number in range(schedule.hosts)]
+        sites = {name: f"s{number % schedule.sites}" for number, name in enumerate(names)}
+        things = {name: tuple(f"{name}i{number}" for number in range(schedule.instances)) for name in names}
+        groups = [Group(f"site {site}", schedule.bound, tuple(
+            thing for name in names if sites[name] == site for thing in things[name]))
+            for site in dict.fromkeys(sites.values())]
+        every = tuple(thing for each in things.values() for thing in each)
+        groups.append(Group("fleet", schedule.bound * schedule.sites, every))
+        self.layout = Layout({name: things[name] for name in names}, tuple(groups))
+        self.audit = AgreementAudit({group.name: (group.bound, list(group.things)) for group in groups},
+                                    TERMS.lapse + TERMS.silent + 2 * SECOND)
+        self.troubled: dict[tuple[str, str], list[Trouble]] = {}
+        self.said: list[str] = []
+        self.orders: list[str] = []
+        self.every = every
+        if plant:
+            plant(self)
+        founders = tuple(names[: schedule.keepers])
+        self.hosts = {name: Host(self, name, things[name], founders) for name in names}
+        for trouble in schedule.troubles:
+            self.clock.at(trouble.at, self._trouble, trouble)
+
+    def say(self, text: str) -> None:
+        self.said.append(f"{self.clock.now / SECOND:.3f} s: {text}")
+
+    # The network.
+
+    def _links(self, source: str, to: str) -> list[Trouble]:
+        now = self.clock.now
+        return [each for each in self.troubled.get((source, to), ()) if now < each.at + each.lasts]
+
+    def _deliver(self, source: str, to: str, act: Callable[..., None], *words: object) -> None:
+        if source == to:
+            self.clock.after(10_000, act, *words)
+            return
+        delay, copies = self.random.randrange(100_000, 2 * MS), 1
+        for trouble in self._links(source, to):
+            if trouble.kind in ("cut", "cut one way", "part"):
+                return
+            if trouble.kind == "loss" and self.random.random() < 0.2 + 0.6 * trouble.size:
+                return
+            if trouble.kind == "slow links":
+                delay += int(self.random.random() * trouble.size * 2 * SECOND)
+            if trouble.kind == "double":
+                copies = 2
+        for _ in range(copies):
+            self.clock.after(delay, act, *words)
+            delay += self.random.randrange(20 * MS)
+
+    def send(self, source: str, to: str, letter: Letter) -> None:
+        if to in self.hosts:
+            self._deliver(source, to, self.hosts[to].heard, letter)
+
+    def poll(self, host: Host, poll: Poll, sent_at: int) -> None:
+        leader = self.hosts[host.leader]
+        lives = host.lives
+
+        def asked() -> None:
+            if not leader.running:
+                return
+            if leader.stopped:
+                leader.waiting.append(asked)
+                return
+            if leader.steward is None:
+                return
+            try:
+                answer, steps = leader.steward.polled(leader.now(), poll)
+            except NotLeading as error:
+                self._deliver(leader.name, host.name, other, error.leader)
+                return
+            self._deliver(leader.name, host.name, host.answered, lives, sent_at, answer)
+            leader.carry_out(steps)
+
+        def other(name: str) -> None:
+            if host.lives == lives:
+                host.leader = name or self.random.choice(list(self.hosts))
+
+        if self.random.random() < 0.2:
+            host.leader = self.random.choice(list(self.hosts))  # should the one it knows be gone
+        self._deliver(host.name, leader.name, asked)
+
+    # Operators.
+
+    def order(self, command: commands.Command, ident: str, tries: int = 40) -> None:
+        """To whoever leads, again and again with the same id until it is answered."""
+        host = self.random.choice([each for each in self.hosts.values() if each.running] or [None])
+        if tries and host is None or host is not None and (host.stopped or host.steward is None):
+            self.clock.after(100 * MS, self.order, command, ident, tries - 1)
+            return
+        if host is None or host.steward is None:
+            return
+
+        def ended(proposal: Proposal) -> None:
+            if proposal.fate.value == "agreed":
+                result = proposal.result
+                if not isinstance(result, Refusal) and isinstance(command, commands.Order):
+                    self.audit.answered(ident, getattr(result, "index", proposal.index))
+            else:
+                self.clock.after(100 * MS, self.order, command, ident, tries - 1)
+
+        try:
+            proposal, steps = host.steward.propose(host.now(), command)
+        except NotLeading:
+            if tries:
+                self.clock.after(100 * MS, self.order, command, ident, tries - 1)
+            return
+        host.pending[proposal] = ended
+        host.carry_out(steps)
+
+    def _act(self, trouble: Trouble) -> None:
+        thing = self.every[trouble.who % len(self.every)]
+        host = next(each for each in self.hosts.values() if thing in each.things)
+        if trouble.kind in ("drain", "drain whole", "restart", "stop it"):
+            ident = f"o{len(self.orders)}"
+            self.orders.append(ident)
+            wanted = {thing, *(each for each in self.every if self.random.random() < trouble.size)}
+            things = [(each.name, each.generation) for one in self.hosts.values()
+                      for each in one.supervision.instances if each.name in wanted]
+            verb = {"restart": "restart", "stop it": "stop"}.get(trouble.kind, "drain")
+            self.order(commands.Order(ident, "asha", verb, 0, 6 * SECOND, trouble.kind == "drain whole",
+                                      things), ident)
+        elif trouble.kind in ("halt", "cancel") and self.orders:
+            ident = self.orders[trouble.who % len(self.orders)]
+            kind = commands.Halt if trouble.kind == "halt" else commands.Cancel
+            self.order(kind(ident, "ravi"), ident)
+        elif trouble.kind == "keepers":
+            count = min(len(self.hosts), 3 + 2 * (trouble.to % 2))
+            names = self.random.sample(sorted(self.hosts), count)
+            self.order(commands.Keepers(names, "asha"), "keepers")
+        elif trouble.kind == "start" and host.running and not host.full:
+            instance = next(each for each in host.supervision.instances if each.name == thing)
+            if instance.part is None and instance.phase in (Phase.STOPPED, Phase.FAILING):
+                host.supervision.want_up(host.now(), instance)
+
+    # Troubles.
+
+    def kill(self, host: Host, wait: int) -> None:
+        if host.running:
+            host.kill()
+            self.clock.after(wait, self._start, host)
+
+    def _start(self, host: Host) -> None:
+        if not host.running:
+            host.start()
+
+    def _trouble(self, trouble: Trouble) -> None:
+        self.say(f"{trouble.kind} {trouble.who} {trouble.to} for {trouble.lasts // MS} ms")
+        names = sorted(self.hosts)
+        host = self.hosts[names[trouble.who % len(names)]]
+        other = names[trouble.to % len(names)]
+        kind = trouble.kind
+        if kind == "kill":
+            self.kill(host, trouble.lasts)
+        elif kind == "kill all":
+            for each in self.hosts.values():
+                self.kill(each, 200 * MS + int(self.random.random() * trouble.lasts))
+        elif kind == "kill in a step":
+            host.crash_in = 1 + trouble.to % 2
+        elif kind == "power":
+            for thing, process in list(host.processes.items()):
+                host._ended(thing, process, "power", True)
+            self.kill(host, trouble.lasts)
+        elif kind == "stop in a step":
+            host.stop_in = trouble.lasts
+        elif kind == "lose the file" and host.running and self._may_lose(host):
+            for thing, process in list(host.processes.items()):
+                if trouble.size < 0.5:
+                    host._ended(thing, process, "power", True)
+            self.kill(host, trouble.lasts)
+            host.disk, host.saved = None, Saved()
+        elif kind == "old file":
+            if host.backup is not None and host.running and host.disk is not None and self._may_lose(host):
+                self.kill(host, trouble.lasts)
+                host.disk = host.backup.copy()
+            elif host.disk is not None:
+                host.backup = host.disk.copy()
+                self.clock.after(trouble.lasts, self._trouble, trouble)
+        elif kind == "stop" and host.running and not host.stopped:
+            host.stopped = True
+            self.clock.after(trouble.lasts, host.wake)
+        elif kind == "full disk":
+            host.full = True
+            self.clock.after(trouble.lasts, setattr, host, "full", False)
+        elif kind == "clock":
+            host.rate = 1 + (trouble.size - 0.5) * 0.03
+        elif kind in ("cut", "cut one way", "part", "slow links", "loss", "double"):
+            for source, to in self._pairs(trouble, host.name, other):
+                self.troubled.setdefault((source, to), []).append(trouble)
+        elif kind in ("die", "die all of a site"):
+            dead = host.things[: 1 if kind == "die" else None]
+            for thing in dead:
+                if found := host.processes.get(thing):
+                    host._ended(thing, found, "died", True)
+        else:
+            self._act(trouble)
+
+    def _may_lose(self, host: Host) -> bool:
+        """No promise holds once a majority of the keepers' files is gone: that takes a rite of its own."""
+        leaders = [each.steward.keeper for each in self.hosts.values() if each.steward
+                   and each.steward.granting]
+        if not leaders:
+            return False
+        voters = [each for each in leaders[-1].members if each.votes]
+        whole = [each for each in voters if (disk := self.hosts[each.name].disk)
+                 and disk.head.life == each.life and each.name != host.name
+                 and disk.head.epoch and self.hosts[each.name].running]
+        return 2 * len(whole) > len(voters)
+
+    def _pairs(self, trouble: Trouble, name: str, other: str) -> list[tuple[str, str]]:
+        names = sorted(self.hosts)
+        if trouble.kind == "cut one way":
+            away = [(name, each) for each in names]
+            return away if trouble.size < 0.5 else [(to, source) for source, to in away]
+        if trouble.kind == "part":
+            here = {each for each in names if self.random.random() < 0.5}
+            return [(a, b) for a in names for b in names if (a in here) != (b in here)]
+        if trouble.kind == "cut" and trouble.size < 0.5:
+            return [(name, other), (other, name)]
+        if trouble.kind in ("loss", "double", "slow links"):
+            return [(a, b) for a in names for b in names]
+        return [pair for each in names for pair in ((name, each), (each, name))]
+
+    # The end.
+
+    def run(self) -> list[str]:
+        self.clock.run(self.schedule.lasts)
+        return self.audit.end(self.clock.now)
+
+    def stuck(self) -> list[str]:
+        """What a good end would have: one leader, no order that is open, nothing away without a place."""
+        leaders = [each for each in self.hosts.values() if each.steward and each.steward.granting
+                   and each.steward.keeper.leads(each.now())]
+        if len(leaders) != 1:
+            return [f"{len(leaders)} leaders at the end"]
+        ledger = leaders[0].steward.ledger  # type: ignore[union-attr]
+        found = [f"order {order.ident} is open: {order.parts}" for order in ledger.held.orders.values()
+                 if any(part.state in OPEN for part in order.parts.values())]
+        return found
+
+
+def play(schedule: Schedule, plant: Callable[[World], None] | None = None) -> tuple[World, list[str]]:
+    world = World(schedule, plant)
+    return world, world.run()
+
+
+def smallest(schedule: Schedule, fails: Callable[[Schedule], bool]) -> Schedule:
+    """Leave out what it fails without, one trouble after the other, until nothing more can be."""
+    from dataclasses import replace
+
+    index = 0
+    while index < len(schedule.troubles):
+        less = replace(schedule, troubles=schedule.troubles[:index] + schedule.troubles[index + 1 :])
+        if fails(less):
+            schedule = less
+        else:
+            index += 1
+    return schedule
--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,661 @@
+"""Stories of the record and of places, free of I/O: keepers that agree, files lost, drawn schedules."""
+
+import dataclasses
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import unittest
+from unittest import mock
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oakkeel.audit.agreement import AgreementAudit
+from oakkeel.emulator.agreement import play, smallest
+from oakkeel.emulator.troubles import MS, SECOND, Schedule, Trouble, draw, read
+from oakkeel.places import commands
+from oakkeel.places.granting import Granting, Terms
+from oakkeel.places.holding import Holding
+from oakkeel.places.layout import Group, Layout, Out
+from oakkeel.places.ledger import Ledger, Refusal
+from oakkeel.places.words import Agreed, PlaceTold
+from oakkeel.record import kept
+from oakkeel.record.disk import Disk
+from oakkeel.record.keeper import Durable, Fate, Keep, Keeper, NotLeading, Role
+from oakkeel.record.log import Log, Snapshot
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import Append, Entry, Hello, Kind, Letter, Member, encode_members
+from oakkeel.store.durable import Store, StoreError
+
+
+class Notes:
+    """A machine that writes down what was agreed."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.wanted: tuple[str, ...] = ()
+
+    def apply(self, index: int, content: bytes) -> object:
+        self.lines.append(content)
+        if content.startswith(b"keepers "):
+            self.wanted = tuple(content.decode().split()[1:])
+        return index
+
+    def fold(self) -> bytes:
+        return b"\n".join([" ".join(self.wanted).encode(), *self.lines])
+
+    def restore(self, content: bytes) -> None:
+        first, *self.lines = content.split(b"\n") if content else [b""]
+        self.wanted = tuple(first.decode().split())
+
+    def keepers(self) -> tuple[str, ...]:
+        return self.wanted
+
+
+class Net:
+    """Keepers on one clock, whose letters take a millisecond unless a way is cut."""
+
+    def __init__(self, *names: str, founders: tuple[str, ...] = (), pace: Pace | None = None) -> None:
+        self.now, self.founders, self.pace = SECOND, founders or names, pace or Pace()
+        self.disks: dict[str, Disk] = {}
+        self.keepers: dict[str, Keeper] = {}
+        self.waiting: list[tuple[int, int, str, Letter]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.count = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.count += 1
+        disk = self.disks.setdefault(name, Disk(Durable(name, f"{name}.{self.count}")))
+        self.keepers[name] = Keeper(self.now, disk.load(), Notes(), self.count, self.pace, self.founders)
+
+    def carry_out(self, name: str, steps) -> None:
+        if steps.keep:
+            self.disks[name].write(self.keepers[name].durable, steps.keep)
+        for to, letter in steps.send:
+            if (name, to) not in self.cut:
+                self.count += 1
+                self.waiting.append((self.now + MS, self.count, to, letter))
+
+    def run(self, lasts: int, done=lambda: False) -> None:
+        end = self.now + lasts
+        while self.now < end and not done():
+            at = min([each.next_at() for each in self.keepers.values()] + [each[0] for each in self.waiting])
+            self.now = max(self.now, min(at, end))
+            due = sorted(each for each in self.waiting if each[0] <= self.now)
+            self.waiting = [each for each in self.waiting if each[0] > self.now]
+            for _, _, to, letter in due:
+                if to in self.keepers:
+                    self.carry_out(to, self.keepers[to].heard(self.now, letter))
+            for name, keeper in list(self.keepers.items()):
+                if keeper.next_at() <= self.now:
+                    self.carry_out(name, keeper.tick(self.now))
+
+    def leader(self) -> Keeper:
+        self.run(5 * SECOND, lambda: any(each.leads(self.now) for each in self.keepers.values()))
+        return next(each for each in self.keepers.values() if each.leads(self.now))
+
+    def propose(self, content: bytes):
+        leader = self.leader()
+        proposal, steps = leader.propose(self.now, content)
+        self.carry_out(leader.name, steps)
+        return proposal
+
+    def agree(self, *contents: bytes) -> None:
+        for content in contents:
+            proposal = self.propose(content)
+            self.run(2 * SECOND, lambda made=proposal: made.fate is not Fate.WAITING)
+            assert proposal.fate is Fate.AGREED, proposal.fate
+
+    def lines(self) -> dict[str, list[bytes]]:
+        self.run(500 * MS)
+        return {name: each.machine.lines for name, each in self.keepers.items()}
+
+
+class KeeperStories(unittest.TestCase):
+    def test_three_with_empty_files_found_a_record_and_agree(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one", b"two")
+        self.assertEqual(set(map(tuple, net.lines().values())), {(b"one", b"two")})
+        self.assertEqual(len({each.durable.epoch for each in net.keepers.values()}), 1)
+
+    def test_no_record_is_founded_while_one_of_the_founders_is_not_there(self):
+        net = Net("a", "b", founders=("a", "b", "c"))
+        net.run(5 * SECOND)
+        self.assertEqual({each.role for each in net.keepers.values()}, {Role.JOINING})
+        with self.assertRaises(NotLeading):
+            net.keepers["a"].propose(net.now, b"one")
+
+    def test_a_leader_that_dies_is_followed_within_two_seconds_by_one_that_has_all(self):
+        net = Net("a", "b", "c", "d", "e")
+        net.agree(b"one")
+        for _ in range(2):
+            gone = net.leader().name
+            del net.keepers[gone]
+            since = net.now
+            self.assertNotEqual(net.leader().name, gone)
+            self.assertLess(net.now - since, 2 * SECOND)
+        net.agree(b"two")
+        self.assertEqual(set(map(tuple, net.lines().values())), {(b"one", b"two")})
+
+    def test_one_that_is_cut_off_does_not_unseat_the_leader_when_it_comes_back(self):
+        net = Net("a", "b", "c")
+        leader = net.leader()
+        away = next(name for name in net.keepers if name != leader.name)
+        net.cut = {(away, name) for name in net.keepers} | {(name, away) for name in net.keepers}
+        net.run(10 * SECOND)
+        self.assertEqual(net.keepers[away].role, Role.ASKING)
+        net.cut.clear()
+        net.run(SECOND)
+        self.assertEqual((net.leader(), leader.term, leader.elections), (leader, 1, 1))
+
+    def test_a_leader_that_hears_nobody_leads_no_more_before_another_does(self):
+        net = Net("a", "b", "c")
+        leader = net.leader()
+        net.cut = {(name, leader.name) for name in net.keepers}  # its own words still go out
+        net.run(net.pace.most)
+        self.assertFalse(leader.leads(net.now))
+        net.run(2 * SECOND, lambda: any(each.leads(net.now) for each in net.keepers.values()))
+        self.assertIsNot(net.leader(), leader)
+
+    def test_a_lost_file_does_not_vote_until_the_leader_has_put_its_new_life_in_place(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        lost = next(name for name in net.keepers if name != net.leader().name)
+        old = net.disks.pop(lost).head.life
+        net.start(lost)
+        net.agree(b"two")
+        keeper = net.keepers[lost]
+        net.run(5 * SECOND, lambda: keeper.life in net.leader().voters)
+        self.assertIn(keeper.life, net.leader().voters)
+        self.assertNotIn(old, net.leader().voters)
+        self.assertEqual(net.lines()[lost], [b"one", b"two"])
+
+    def test_a_file_that_is_an_hour_old_is_found_out_and_begins_a_new_life(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        victim = next(name for name in net.keepers if name != net.leader().name)
+        backup = net.disks[victim].copy()
+        net.agree(b"two", b"three", b"four")  # what others keep of it goes along with later entries
+        net.disks[victim] = backup
+        net.start(victim)
+        net.run(SECOND, lambda: net.keepers[victim].role is not Role.JOINING)
+        self.assertEqual(net.keepers[victim].role, Role.OUTDATED)
+        self.assertRegex(net.keepers[victim].why, "knows it to have kept entry")
+        del net.disks[victim]
+        net.start(victim)
+        net.run(5 * SECOND, lambda: net.keepers[victim].life in net.leader().voters)
+        self.assertEqual(net.lines()[victim], [b"one", b"two", b"three", b"four"])
+
+    def test_one_that_starts_votes_for_nobody_in_a_term_that_another_knows(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        for name in list(net.keepers):
+            net.start(name)
+        terms = {each.durable.term for each in net.keepers.values()}
+        net.agree(b"two")
+        self.assertGreater(net.leader().term, max(terms))
+
+    def test_all_that_are_killed_at_once_go_on_from_their_files(self):
+        net = Net("a", "b", "c", pace=Pace(fold=4))
+        net.agree(*(b"%d" % number for number in range(10)))
+        for name in list(net.keepers):
+            net.start(name)
+        net.agree(b"last")
+        self.assertEqual({len(each) for each in net.lines().values()}, {11})
+        self.assertTrue(all(each.log.snapshot.index > 4 for each in net.keepers.values()))
+
+    def test_keepers_change_from_three_to_five_and_to_others_while_one_is_cut_off(self):
+        net = Net("a", "b", "c", "d", "e", founders=("a", "b", "c"), pace=Pace(fold=4))
+        net.agree(*(b"%d" % number for number in range(6)))
+        away = next(name for name in "abc" if name != net.leader().name)
+        net.cut = {(away, name) for name in net.keepers} | {(name, away) for name in net.keepers}
+        net.agree(b"keepers a b c d e")
+
+        def voters() -> set[str]:
+            return {each.name for each in net.leader().members if each.votes}
+
+        net.run(10 * SECOND, lambda: voters() == set("abcde"))
+        self.assertEqual(voters(), set("abcde"))
+        net.cut.clear()
+        net.agree(b"keepers c d e")
+        net.run(10 * SECOND, lambda: voters() == set("cde"))
+        self.assertEqual(voters(), set("cde"))
+        net.agree(b"after")
+        self.assertEqual({name: lines[-1] for name, lines in net.lines().items() if name in "cde"},
+                         dict.fromkeys("cde", b"after"))
+
+    def test_a_leader_that_is_no_keeper_any_more_steps_down_by_itself(self):
+        net = Net("a", "b", "c", "d")
+        leader = net.leader()
+        others = [name for name in net.keepers if name != leader.name]
+        net.agree(b"keepers " + " ".join(others).encode())
+        net.run(5 * SECOND, lambda: leader.role is not Role.LEADING)
+        self.assertNotEqual(net.leader().name, leader.name)
+        net.agree(b"after")
+
+    def test_what_a_cut_off_leader_took_is_lost_or_agreed_and_never_half(self):
+        net = Net("a", "b", "c")
+        leader = net.leader()
+        net.cut = {pair for name in net.keepers for pair in ((leader.name, name), (name, leader.name))}
+        proposal, steps = leader.propose(net.now, b"never")
+        net.carry_out(leader.name, steps)
+        net.run(3 * SECOND)
+        self.assertEqual(proposal.fate, Fate.UNKNOWN)
+        net.agree(b"other")
+        net.cut.clear()
+        net.agree(b"third")
+        self.assertEqual(set(map(tuple, net.lines().values())), {(b"other", b"third")})
+
+    def test_letters_of_another_record_and_doubled_ones_change_nothing(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        leader = net.leader()
+        follower = next(each for each in net.keepers.values() if each is not leader)
+        for letter in (Letter("other", "x", "x.1", Append(99, 0, 0, [Entry(99, 2, b"bad")], 1, 0, [])),
+                       Letter("other", "x", "x.1", Hello(1, False, 99, 99, 99)),
+                       Letter(leader.durable.epoch, leader.name, leader.life,
+                              Append(leader.term, 0, 0, list(leader.log.entries), 2, 0, []))):
+            for _ in range(2):
+                follower.heard(net.now, letter)
+        self.assertEqual((follower.term, follower.machine.lines), (leader.term, [b"one"]))
+
+    def test_a_full_table_of_proposals_refuses_more(self):
+        net = Net("a", "b", "c")
+        leader = net.leader()
+        net.cut = {(leader.name, name) for name in net.keepers}
+        with self.assertRaisesRegex(NotLeading, "too much waits"):
+            for _ in range(2000):
+                leader.propose(net.now, b"x")
+        with self.assertRaisesRegex(NotLeading, "too long"):
+            Net("a").leader().propose(SECOND, bytes(5 << 20))
+
+
+class FileStories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.path = os.path.join(self.enterContext(tempfile.TemporaryDirectory()), "record.db")
+
+    def test_the_file_means_what_the_plain_values_mean(self):
+        random_ = random.Random(5)
+        for _ in range(30):
+            if os.path.exists(self.path):
+                os.unlink(self.path)
+            store = Store(self.path, kept.SCHEMA, kept.VERSION)
+            durable = kept.load(store, "a", "a.1")
+            disk, log = Disk(durable), Log(Snapshot(0, 0, (), b""), [])
+            for _ in range(40):
+                keep = Keep()
+                if random_.random() < 0.3:
+                    durable.term, durable.voted, keep.head = durable.term + 1, "b.1", True
+                    durable.marks = {"b.1": (durable.term, 3)}
+                if log.entries and random_.random() < 0.2:
+                    keep.cut = random_.randint(log.snapshot.index + 1, log.last)
+                    log.cut(keep.cut)
+                for _ in range(random_.randrange(3)):
+                    entry = Entry(durable.term, Kind.COMMAND, random_.randbytes(3))
+                    keep.entries.append((log.append(entry), entry))
+                if log.entries and random_.random() < 0.2:
+                    keep.snapshot = log.fold(random_.randint(log.snapshot.index + 1, log.last), b"all")
+                kept.write(store, durable, keep)
+                disk.write(durable, keep)
+            store.close()
+            store = Store(self.path, kept.SCHEMA, kept.VERSION)
+            self.assertEqual(kept.load(store, "a", "a.2"), disk.load())
+            self.assertEqual(kept.check(disk.load()), "")
+            store.close()
+
+    def test_a_write_that_fails_leaves_nothing_of_it(self):
+        store = Store(self.path, kept.SCHEMA, kept.VERSION)
+        durable = kept.load(store, "a", "a.1")
+        pages = store._number("page_count")
+        store.base.execute(f"PRAGMA max_page_count = {pages}")
+        with self.assertRaises(StoreError):
+            kept.write(store, durable, Keep(entries=[(1, Entry(1, 2, b"small")),
+                                                     (2, Entry(1, 2, bytes(100_000)))]))
+        self.assertEqual(kept.load(store, "a", "a.2").entries, [])
+
+    def test_terms_that_go_back_are_damage(self):
+        durable = Durable("a", "a.1", term=3, entries=[Entry(2, 2, b""), Entry(1, 2, b"")])
+        self.assertEqual(kept.check(durable), "terms that go back")
+        durable.entries = [Entry(1, int(Kind.MEMBERS), b"\xc1")]
+        self.assertRegex(kept.check(durable), "members")
+
+
+LAYOUT = Layout({"h1": ("a", "b", "cat1"), "h2": ("c", "d", "cat2")},
+                (Group("fleet", 2, ("a", "b", "c", "d")), Group("site s", 1, ("a", "b")),
+                 Group("kind cat", 1, ("cat1", "cat2"))),
+                {"cat1": ("a",), "cat2": ("c", "d")})
+
+
+class PlaceStories(unittest.TestCase):
+    """A ledger with the leader's part, and agents that say what they are told to."""
+
+    def setUp(self) -> None:
+        self.ledger = Ledger(lambda *told: self.granting.applied(self.now, *told) if self.granting else None)
+        self.granting: Granting | None = None
+        self.now, self.index = SECOND, 0
+        self.holding = {name: Holding(name, things, 1) for name, things in LAYOUT.hosts.items()}
+        self.up = dict.fromkeys("abcd", True) | {"cat1": True, "cat2": True}
+        self.put(commands.Lay(LAYOUT))
+        self.lead()
+
+    def put(self, *wanted: commands.Command) -> object:
+        result = None
+        for command in wanted:
+            self.index += 1
+            result = self.ledger.apply(self.index, commands.encode(command))
+        return result
+
+    def lead(self) -> None:
+        self.granting = Granting(self.now, self.ledger, Terms())
+
+    def turn(self, *hosts: str) -> None:
+        """Agents say how they are, and the leader does what follows."""
+        for host in hosts or LAYOUT.hosts:
+            holding = self.holding[host]
+            self.put(*self.granting.heard(self.now, holding.poll(self.now, self.up, [], {})))
+            while wanted := self.granting.tick(self.now):
+                self.put(*wanted)
+            holding.answered(self.now, self.now, self.granting.answer(self.now, "e", host))
+
+    def order(self, ident: str, *things: str, verb: str = "drain", whole: bool = False) -> object:
+        return self.put(commands.Order(ident, "asha", verb, 0, 60 * SECOND, whole,
+                                       [(thing, 1) for thing in things]))
+
+    def states(self, ident: str) -> dict[str, str]:
+        return {thing: part.state for thing, part in self.ledger.held.orders[ident].parts.items()}
+
+    def begin(self, host: str, thing: str, ident: str) -> bool:
+        if may := self.holding[host].may_begin(self.now, thing, ident):
+            self.holding[host].begin(self.now, thing)
+            self.up[thing] = False
+        return may
+
+    def test_nothing_leaves_before_all_of_the_site_were_heard(self):
+        self.order("o1", "a")
+        self.turn("h2")
+        self.assertEqual(self.states("o1"), {"a": "waiting"})
+        self.turn("h1")
+        self.assertEqual(self.states("o1"), {"a": "granted"})
+
+    def test_the_bound_holds_over_hosts_and_a_place_given_back_goes_to_the_next(self):
+        self.turn()
+        self.order("o1", "a", "b", "c", "d", verb="restart")
+        self.turn()
+        self.turn()
+        self.assertEqual(sorted(self.states("o1").values()), ["granted", "granted", "waiting", "waiting"])
+        self.assertTrue(self.begin("h1", "a", "o1"))
+        self.assertFalse(self.begin("h1", "b", "o1"))
+        self.turn()
+        self.assertEqual(self.states("o1")["a"], "out")
+        self.up["a"] = True
+        self.holding["h1"].is_back("a")
+        self.turn()
+        self.turn()
+        self.assertEqual(self.states("o1"), {"a": "done", "b": "granted", "c": "granted", "d": "waiting"})
+
+    def test_all_or_nothing_waits_for_room_for_all_and_ends_whole(self):
+        self.turn()
+        self.order("o1", "a")
+        self.turn()
+        self.order("o2", "c", "d", whole=True)
+        self.turn()
+        self.assertEqual(self.states("o2"), {"c": "waiting", "d": "waiting"})
+        self.begin("h1", "a", "o1")
+        self.turn()
+        self.put(commands.Cancel("o1", "ravi"))
+        self.up["a"] = True
+        self.holding["h1"].is_back("a")
+        self.turn()
+        self.turn()
+        self.assertEqual(self.states("o2"), {"c": "granted", "d": "granted"})
+        self.assertIsInstance(self.order("o3", "a", "b", "nobody"), Refusal)
+        self.assertEqual(self.ledger.held.orders["o2"].whole, True)
+
+    def test_a_service_below_takes_out_what_hangs_on_it_and_counts_when_it_dies(self):
+        self.turn()
+        self.order("o1", "cat2")
+        self.turn()
+        self.assertEqual(self.states("o1"), {"cat2": "granted"})  # c and d with it: the fleet is full
+        self.order("o2", "a")
+        self.turn()
+        self.assertEqual(self.states("o2"), {"a": "waiting"})
+        self.up["cat1"] = False  # dies while one of its kind is out
+        self.order("o3", "cat1")
+        self.turn()
+        self.assertEqual((self.states("o2"), self.states("o3")), ({"a": "waiting"}, {"cat1": "waiting"}))
+        self.assertIn("hangs on cat1", self.granting.out.reasons["a"])
+
+    def test_a_place_lapses_only_after_nobody_can_begin_and_counts_until_its_agent_was_heard(self):
+        self.turn()
+        self.order("o1", "a")
+        self.order("o2", "c", "d")
+        self.turn()
+        terms, granted = self.granting.terms, self.now
+        self.now = granted + terms.good - MS
+        self.assertTrue(self.holding["h1"].may_begin(self.now, "a", "o1"))
+        self.now = granted + terms.good
+        self.assertFalse(self.holding["h1"].may_begin(self.now, "a", "o1"))
+        self.now = granted + terms.lapse + MS
+        for _ in range(3):
+            self.turn("h2")
+        self.assertNotIn("a", self.ledger.held.places)
+        self.assertIn("a place lapsed", self.granting.out.reasons["a"])
+        late = self.holding["h1"].poll(self.now, self.up, [], {})  # said before it knew of the lapse
+        self.granting.heard(self.now, late)
+        self.assertIn("a place lapsed", self.granting.out.reasons["a"])
+        self.turn("h1")
+        self.turn("h1")
+        self.assertNotIn("a place lapsed", self.granting.out.reasons.get("a", ()))
+
+    def test_a_new_leader_lets_a_place_of_the_old_one_stand_its_time_anew(self):
+        self.turn()
+        self.order("o1", "a")
+        self.turn()
+        self.now += 2 * SECOND
+        self.lead()
+        self.now += 2 * SECOND
+        self.turn("h2")
+        self.assertIn("a", self.ledger.held.places)
+
+    def test_a_host_that_falls_silent_counts_whole(self):
+        self.turn()
+        self.now += 3 * SECOND
+        self.order("o1", "a")
+        self.turn("h1")
+        self.assertEqual(self.states("o1"), {"a": "waiting"})  # c and d may be anything
+        self.turn("h2")
+        self.assertEqual(self.states("o1"), {"a": "granted"})
+
+    def test_after_a_halt_a_granted_place_is_given_back_and_what_began_goes_on(self):
+        self.turn()
+        self.order("o1", "a", "c", "d")
+        self.turn()
+        self.begin("h1", "a", "o1")
+        self.turn()
+        self.put(commands.Halt("o1", "ravi"))
+        self.turn()
+        self.turn()
+        self.assertEqual(self.states("o1"), {"a": "out", "c": "halted", "d": "halted"})
+        self.assertFalse(self.begin("h2", "c", "o1"))
+        self.assertEqual(set(self.ledger.held.places), {"a"})
+
+    def test_an_answer_that_is_older_or_of_another_record_or_an_older_fence_is_not_obeyed(self):
+        holding = Holding("h1", ("a",), 1)
+        answer = Agreed("e", 7, [PlaceTold("a", "o1", 6, False, 3 * SECOND)], [], {})
+        self.assertTrue(holding.answered(SECOND, SECOND, answer))
+        self.assertFalse(holding.answered(SECOND, SECOND, Agreed("e", 5, [], [], {})))
+        self.assertFalse(holding.answered(SECOND, SECOND, Agreed("other", 9, [], [], {})))
+        holding.begin(SECOND, "a")
+        again = Holding("h1", ("a",), 2)
+        again.restore("e", [("a", 6, "o1", True)], {})
+        self.assertTrue(again.may_begin(9 * SECOND, "a", "o1"))  # begun is begun
+        again.answered(SECOND, SECOND, Agreed("e", 9, [PlaceTold("a", "o0", 4, False, SECOND)], [], {}))
+        self.assertFalse(again.may_begin(SECOND, "a", "o0"))
+
+    def test_generations_and_fences_only_rise_and_a_lease_has_one_holder(self):
+        self.put(commands.Reserve("h1", {"a": 64}))
+        self.put(commands.Reserve("h1", {"a": 3}))
+        self.assertEqual(self.ledger.held.generations["a"], 64)
+        self.put(commands.Hold("release", "h1", SECOND))
+        self.assertIsInstance(self.put(commands.Hold("release", "h2", SECOND)), Refusal)
+        fence = self.ledger.held.leases["release"].fence
+        self.put(commands.Release("release", fence))
+        self.put(commands.Hold("release", "h2", SECOND))
+        self.assertGreater(self.ledger.held.leases["release"].fence, fence)
+
+    def test_a_command_of_a_later_version_is_the_same_no_everywhere(self):
+        self.assertIsInstance(self.ledger.apply(99, b"\x91\xa5other"), Refusal)
+        again = Ledger()
+        again.restore(self.ledger.fold())
+        self.assertEqual(again.fold(), self.ledger.fold())
+
+
+class PlacesMachine(RuleBasedStateMachine):
+    """The real ledger against sets: whatever is put to it in whatever order, the bounds hold."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger, self.index, self.fences = Ledger(), 0, {}
+        self.put(commands.Lay(LAYOUT))
+
+    def put(self, command) -> object:
+        self.index += 1
+        return self.ledger.apply(self.index, commands.encode(command))
+
+    things = st.sampled_from(["a", "b", "c", "d", "cat1", "cat2"])
+    idents = st.sampled_from(["o1", "o2", "o3"])
+
+    @rule(ident=idents, named=st.sets(things, min_size=1), verb=st.sampled_from(["drain", "stop", "restart"]),
+          whole=st.booleans())
+    def order(self, ident, named, verb, whole):
+        self.put(commands.Order(ident, "asha", verb, 0, SECOND, whole, [(each, 1) for each in sorted(named)]))
+
+    @rule(ident=idents, named=st.sets(things, min_size=1))
+    def grant(self, ident, named):
+        result = self.put(commands.Grant(ident, sorted(named)))
+        for thing in named if isinstance(result, int) else ():
+            assert result > self.fences.get(thing, 0)
+            self.fences[thing] = result
+
+    @rule(thing=things, kind=st.sampled_from([commands.Began, commands.Over, commands.Lapse]))
+    def move(self, thing, kind):
+        self.put(kind(thing, self.fences.get(thing, 0)))
+
+    @rule(ident=idents, thing=things, how=st.sampled_from(["done", "failed", "refused"]))
+    def ended(self, ident, thing, how):
+        self.put(commands.Ended(ident, thing, how, ""))
+
+    @rule(ident=idents, kind=st.sampled_from([commands.Halt, commands.Cancel, commands.Expire]))
+    def end(self, ident, kind):
+        self.put(kind(ident) if kind is commands.Expire else kind(ident, "ravi"))
+
+    @rule()
+    def fold(self):
+        self.ledger.restore(self.ledger.fold())
+
+    @invariant()
+    def bounds_hold(self):
+        out = set(self.ledger.held.places)
+        out |= {each for thing in out for each in LAYOUT.hanging.get(thing, ())}
+        for group in LAYOUT.groups:
+            assert len(out & set(group.things)) <= group.bound, (group, out)
+
+
+PlacesMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+PlacesCase = PlacesMachine.TestCase
+
+
+class ScheduleStories(unittest.TestCase):
+    """Whole fleets in simulated time. `make measure-schedules` plays many more."""
+
+    def test_drawn_schedules_break_no_promise_and_come_to_an_end(self):
+        for seed in range(7000, 7012):
+            with self.subTest(seed=seed):
+                world, breaches = play(draw(seed))
+                self.assertEqual((breaches, world.stuck()), ([], []))
+
+    def test_the_same_schedule_plays_the_same_again_also_from_a_file_and_in_another_process(self):
+        schedule = draw(3)
+        first, second = play(schedule)[0], play(read(schedule.told()))[0]
+        self.assertEqual((first.clock.happened, first.said), (second.clock.happened, second.said))
+        code = ("from oakkeel.emulator.agreement import play; from oakkeel.emulator.troubles import draw\n"
+                "print(play(draw(3))[0].clock.happened)")
+        told = {subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": seed},
+                               capture_output=True, text=True, check=True).stdout for seed in ("1", "2")}
+        self.assertEqual(told, {f"{first.clock.happened}\n"})
+
+    def test_a_planted_fault_is_caught_and_cut_down(self):
+        with mock.patch.object(Out, "against", lambda self, things: ""):
+            def fails(schedule: Schedule) -> bool:
+                return bool(play(schedule)[1])
+
+            schedule = next(each for each in map(draw, range(20)) if fails(each))
+            less = smallest(schedule, fails)
+            self.assertTrue(fails(less))
+            self.assertLess(len(less.troubles), len(schedule.troubles))
+            for index in range(len(less.troubles)):  # nothing of it can be left out
+                rest = less.troubles[:index] + less.troubles[index + 1 :]
+                self.assertFalse(fails(dataclasses.replace(less, troubles=rest)))
+        self.assertEqual(play(less)[1], [])
+
+    def test_an_agent_that_would_go_by_a_place_whose_time_is_over_is_caught(self):
+        schedules = [Schedule(seed, 3, 3, 2, 1, 1, (
+            Trouble(3 * SECOND, "stop in a step", 0, 0, 6 * SECOND),
+            Trouble(4 * SECOND, "drain", 0, 0, 0, 0.0), Trouble(5 * SECOND, "halt")), 16 * SECOND)
+            for seed in range(6)]
+        self.assertEqual([breach for each in schedules for breach in play(each)[1]], [])
+
+        def for_ever(self, now, thing, ident):
+            held = self.places.get(thing)
+            return held is not None and held.ident == ident and not held.given
+
+        with mock.patch.object(Holding, "may_begin", for_ever):
+            breaches = [breach for each in schedules for breach in play(each)[1]]
+        self.assertRegex(breaches[0], "promise 7: ")
+
+    def test_the_auditor_catches_each_breach_by_itself(self):
+        def judge() -> AgreementAudit:
+            audit = AgreementAudit({"s": (1, ["a", "b"])}, SECOND)
+            audit.applied(0, "k", 5, b'\x93\xa5grant\xa1o\x92\xa1a\xa1b')
+            return audit
+
+        audit = judge()
+        audit.led(0, 1, "x")
+        audit.led(1, 1, "y")
+        audit.applied(1, "y", 5, b'\x93\xa5grant\xa1o\x91\xa1a')
+        audit.answered("o9", 5)
+        audit.started(2, "a", 3)
+        audit.started(3, "a", 3)
+        audit.left(3, "a", 4)
+        audit.left(4, "b", 5)
+        audit.left(5, "b", 3)
+        audit.halt_holds("o")
+        audit.left(6, "b", 6, "o")
+        told = "\n".join(audit.end(9))
+        for number in range(1, 8):
+            self.assertIn(f"promise {number}: ", told)
+        good = judge()
+        good.gone(0, "a")
+        good.left(SECOND // 2, "b", 5)  # too soon to be known
+        self.assertEqual(good.end(9), [])
+        late = judge()
+        late.gone(0, "a")
+        late.left(2 * SECOND, "b", 5)
+        self.assertRegex(late.end(9)[0], "known to be away")
+
+
+class MembersStories(unittest.TestCase):
+    def test_members_count_from_the_entry_that_names_them_and_go_with_it(self):
+        log = Log(Snapshot(0, 0, (Member("a", "a.1"),), b""), [])
+        log.append(Entry(1, Kind.MEMBERS, encode_members([Member("a", "a.1"), Member("b", "b.1", False)])))
+        self.assertEqual(len(log.members), 2)
+        log.cut(1)
+        self.assertEqual((len(log.members), log.members_at), (1, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
