Answer once what was sent last: a link that doubles letters doubled them without end

Seen: of 1,600 drawn schedules one never came to its end; stopped after 5 s it was in Keeper.heard sending letters, 20,000 of simulated milliseconds apart. Excluded: the steward's loop over grants and the clock of the emulator (same schedule, no doubled letters: ends). At fault: Leading.answered and taken let every copy of an answer make room for one more Append, so two copies made two, then four.

Change: only the answer to what was sent last makes room. Also found by schedules: a place that lapsed after its agent had begun and died was free (a second thing of the site could be taken out): it counts now until the agent was heard; an agent without its file never told that its drain was done; the emulator woke a new leader late, and put old files back again and again.

--- a/measure/agreement.py
+++ b/measure/agreement.py
@@ -151,7 +151,8 @@
                     sent = time.monotonic()
                     answer = await self.rig.order(ident, "restart", chosen, 15,
                                                   generations=generations)
-                    if isinstance(answer, messages.FleetTold):
+                    if isinstance(answer, messages.FleetTold) and any(
+                            part.state != "refused" for part in answer.parts):
                         self.taken[ident] = time.monotonic() - began
                         if quiet and not self.wrong:
                             self.quiet.append(time.monotonic() - sent)
--- a/oakkeel/agent/deciding.py
+++ b/oakkeel/agent/deciding.py
@@ -69,8 +69,16 @@
                     told.append(PartTold(order.ident, thing, HOW[part.state], part.why))
                 elif why := self.refused.get((order.ident, thing)):
                     told.append(PartTold(order.ident, thing, "refused", why))
+                elif self._done_before(order, thing):
+                    told.append(PartTold(order.ident, thing, "done", ""))
         return told
 
+    def _done_before(self, order: OrderTold, thing: str) -> bool:
+        """It was carried out here, and our file with it was lost before that was told."""
+        held, instance = self.holding.places.get(thing), self.orders.named.get(thing)
+        return bool(held and held.begun and held.ident == order.ident and order.verb in ("drain", "stop")
+                    and instance and instance.phase is Phase.STOPPED and instance.goal is Goal.DOWN)
+
     # What is heard.
 
     def answered(self, now: int, sent_at: int, answer: Agreed) -> list[Order]:
--- a/oakkeel/emulator/agreement.py
+++ b/oakkeel/emulator/agreement.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import copy
+import pickle
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -17,7 +17,7 @@
 from oakkeel.agent.orders import Orders
 from oakkeel.agent.supervision import Act, Patience, Step, Supervision
 from oakkeel.audit.agreement import AgreementAudit
-from oakkeel.emulator.clock import Clock
+from oakkeel.emulator.clock import Clock, Happening
 from oakkeel.emulator.troubles import MS, SECOND, Schedule, Trouble
 from oakkeel.places import commands
 from oakkeel.places.granting import Terms
@@ -52,7 +52,7 @@
     places: list[tuple[str, int, str, bool]] = field(default_factory=list)
     epoch: str = ""
     generations: dict[str, int] = field(default_factory=dict)
-    orders: Orders | None = None
+    orders: bytes = b""  # with the instances that they are for
 
 
 class Host:
@@ -64,10 +64,10 @@
         self.rate, self.offset = 1 + self.random.uniform(-0.015, 0.015), self.random.randrange(10 * SECOND)
         self.lives = 0
         self.disk: Disk | None = None
-        self.backup: Disk | None = None
         self.saved = Saved()
         self.processes: dict[str, Process] = {}
         self.running = self.stopped = self.full = False
+        self.timer: Happening | None = None
         self.crash_in = 0  # at the next step that writes: 1 before it, 2 after
         self.stop_in = 0  # for so long, at the next answer that grants something
         self.start()
@@ -87,7 +87,7 @@
         self._start_agent()
         lives = self.lives
         self.world.clock.after(self.random.randrange(TURN), self._turn, lives)
-        self.world.clock.after(1, self._beat, lives)
+        self.timer = self.world.clock.after(1, self._beat, lives)
 
     def _start_keeper(self) -> None:
         world, now = self.world, self.now()
@@ -110,15 +110,15 @@
 
     def _start_agent(self) -> None:
         now, saved = self.now(), self.saved
-        fresh = saved.orders is None
+        fresh = not saved.orders
         self.holding = Holding(self.name, self.things, self.random.getrandbits(40))
         self.holding.restore(saved.epoch, saved.places, saved.generations)
-        if saved.orders is None:
+        if fresh:
             instances = [Instance(name, "site", since=now) for name in self.things]
             self.supervision = Supervision(instances, PATIENCE, {}, self.random.getrandbits(40), self.now)
             self.orders = Orders(self.supervision, self.now, holding=self.holding)
         else:
-            self.orders = copy.deepcopy(saved.orders)
+            self.orders = pickle.loads(saved.orders)
             self.supervision = self.orders.supervision
             self.supervision.unix = self.orders.unix = self.now
             self.orders.holding = self.holding
@@ -146,16 +146,20 @@
             return
         if self.stopped:
             return self.waiting.append(lambda: self._beat(lives))
-        steward = self.steward
-        if steward:
-            self.carry_out(steward.tick(self.now()))
-            if lives == self.lives and self.steward:
-                wait = max(MS, int((self.steward.keeper.next_at() - self.now()) / self.rate))
-                if self.steward.granting:
-                    wait = min(wait, 50 * MS)
-                self.world.clock.after(min(wait, SECOND), self._beat, lives)
-        else:
-            self.world.clock.after(100 * MS, self._beat, lives)
+        if self.steward:
+            self.carry_out(self.steward.tick(self.now()))
+        if lives == self.lives:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        """When the keeper has something to do next; anew after whatever happens to it."""
+        if self.timer:
+            self.timer.call_off()
+        wait = 100 * MS
+        if self.steward:
+            wait = max(MS, int((self.steward.keeper.next_at() - self.now()) / self.rate))
+            wait = min(wait, 50 * MS if self.steward.granting else SECOND)
+        self.timer = self.world.clock.after(wait, self._beat, self.lives)
 
     def carry_out(self, all_steps: list[Steps]) -> None:
         """Write, send, tell: in this order, or crash between."""
@@ -198,7 +202,10 @@
         if self.running and self.steward:
             if self.stopped:
                 return self.waiting.append(lambda: self.heard(letter))
+            lives = self.lives
             self.carry_out(self.steward.heard(self.now(), letter))
+            if lives == self.lives:
+                self._schedule()
 
     def _turn(self, lives: int) -> None:
         """The agent's."""
@@ -238,7 +245,13 @@
             self._save()
 
     def _save(self) -> None:
-        holding = self.holding
+        holding, instances = self.holding, self.supervision.instances
+        if not (holding.changed or self.orders.changed or self.orders.dropped
+                or any(each.dirty for each in instances)):
+            return
+        for each in instances:
+            each.dirty = False
+        self.orders.dropped.clear()
         self.saved.epoch, self.saved.generations = holding.epoch, dict(holding.generations)
         self.saved.places = [(thing, fence, held.ident if (held := holding.places.get(thing)) else "",
                               bool(held and held.begun)) for thing, fence in holding.floors.items()]
@@ -247,7 +260,7 @@
         orders, self.orders.holding = self.orders, None
         unix = orders.unix
         orders.unix = orders.supervision.unix = int  # type: ignore[assignment]  # set again when it is loaded
-        self.saved.orders = copy.deepcopy(orders)
+        self.saved.orders = pickle.dumps(orders)
         orders.unix = orders.supervision.unix = unix
         orders.holding = holding
 
@@ -492,13 +505,8 @@
                     host._ended(thing, process, "power", True)
             self.kill(host, trouble.lasts)
             host.disk, host.saved = None, Saved()
-        elif kind == "old file":
-            if host.backup is not None and host.running and host.disk is not None and self._may_lose(host):
-                self.kill(host, trouble.lasts)
-                host.disk = host.backup.copy()
-            elif host.disk is not None:
-                host.backup = host.disk.copy()
-                self.clock.after(trouble.lasts, self._trouble, trouble)
+        elif kind == "old file" and host.disk is not None:
+            self.clock.after(trouble.lasts, self._put_back, host, host.disk.copy(), trouble.lasts)
         elif kind == "stop" and host.running and not host.stopped:
             host.stopped = True
             self.clock.after(trouble.lasts, host.wake)
@@ -518,6 +526,12 @@
         else:
             self._act(trouble)
 
+    def _put_back(self, host: Host, backup: Disk, wait: int) -> None:
+        if host.running and self._may_lose(host):
+            self.say(f"the old file of {host.name} is put back")
+            self.kill(host, wait)
+            host.disk = backup
+
     def _may_lose(self, host: Host) -> bool:
         """No promise holds once a majority of the keepers' files is gone: that takes a rite of its own."""
         leaders = [each.steward.keeper for each in self.hosts.values() if each.steward
--- a/oakkeel/places/granting.py
+++ b/oakkeel/places/granting.py
@@ -1,8 +1,8 @@
 """What the leader does for places: whom to believe, what to grant, what has lapsed. Free of I/O.
 
-A thing is out while it has a place, while its agent says that it does not serve, and while nothing is known
-of it: its agent is silent, or has not been heard since a place on it lapsed. So a new leader grants nothing
-on a site before its agents have told it how things are, and a host that vanishes counts whole.
+A thing is out while it has a place, while its agent says that it does not serve, and while its agent is
+silent. So a new leader grants nothing on a site before its agents have told it how things are, and a host
+that vanishes counts whole.
 
 A place may be begun within `good` of its grant, by the agent's own clock from when it asked; it lapses once
 that is over by any clock within the drift. The leader proposes; what is applied is what holds.
@@ -19,7 +19,7 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
-TOLD, UNHEARD, LAPSED, ASKED = "does not serve", "not known", "a place lapsed", "to be granted"
+TOLD, UNHEARD, ASKED = "does not serve", "not known", "to be granted"
 MOST_GRANTS = 64  # in one turn
 SCAN = 50 * MS  # between looks at what time alone brings about
 
@@ -45,7 +45,6 @@
     life: int
     count: int
     at: int
-    heard: int
     told: dict[str, bool]  # by thing: whether it serves
 
 
@@ -104,9 +103,8 @@
         if known and (known.life, known.count) > (poll.life, poll.count) and known.life == poll.life:
             return []
         told = {each.name: each.up for each in poll.things}
-        self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, poll.heard, told)
-        if known is None or known.told != told or known.heard != poll.heard or \
-                now - known.at > self.terms.silent:
+        self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, told)
+        if known is None or known.told != told or now - known.at > self.terms.silent:
             self._believe(poll.host, host)
         wanted: list[commands.Command] = []
         held = self.ledger.held
@@ -114,9 +112,11 @@
             place = held.places.get(each.name)
             if place is None or self.host_of.get(each.name) != poll.host:
                 continue
-            if each.begun == place.fence and not place.out:
+            began = each.begun == place.fence
+            if began and not place.out:
                 wanted.append(commands.Began(each.name, place.fence))
-            if each.begun == place.fence and each.back and each.up or each.given == place.fence:
+            if began and each.back and each.up or each.given == place.fence or not began and (
+                    0 < place.lapsed <= poll.heard):
                 wanted.append(commands.Over(each.name, place.fence))
         for part in poll.ended:
             order = held.orders.get(part.ident)
@@ -129,12 +129,10 @@
         return self._propose(wanted)
 
     def _believe(self, name: str, host: Heard) -> None:
-        lapsed = self.ledger.held.lapsed
         for thing in self.layout.hosts.get(name, ()):
             told = host.told.get(thing)
             self.out.set(thing, UNHEARD, told is None)
             self.out.set(thing, TOLD, told is False)
-            self.out.set(thing, LAPSED, lapsed.get(thing, 0) > host.heard)
         self.moved = True
 
     def applied(self, now: int, index: int, command: commands.Command, result: object) -> None:
@@ -159,8 +157,6 @@
                     part = held.orders[ident].parts.get(thing) if ident in held.orders else None
                     if part and part.state == "waiting":
                         self._wait(ident, thing)
-        if isinstance(command, commands.Lapse):
-            self.out.put(command.thing, LAPSED)  # until its agent was heard after that
         self.moved = True
 
     def lost(self, command: commands.Command) -> None:
@@ -195,7 +191,7 @@
                 self._believe(name, host)
         for place in held.places.values():
             since = self.granted.setdefault(place.fence, now)
-            if not place.out and now - since > self.terms.lapse:
+            if not place.out and not place.lapsed and now - since > self.terms.lapse:
                 wanted.append(commands.Lapse(place.thing, place.fence))
         if len(self.granted) > 2 * len(held.places) + 64:
             fences = {place.fence for place in held.places.values()}
@@ -244,10 +240,9 @@
         return self.out.against(things) or self.ledger.out.against(things)
 
     def _may(self, thing: str, ident: str) -> bool:
-        """Its agent is there to use a place, and knows of the last one that lapsed."""
+        """Its agent is there to use a place, and no other stands in the way."""
         reasons = self.out.reasons.get(thing, ())
-        return (UNHEARD not in reasons and LAPSED not in reasons and ASKED not in reasons
-                and not self.ledger.taken(thing, ident))
+        return UNHEARD not in reasons and ASKED not in reasons and not self.ledger.taken(thing, ident)
 
     def _grant(self, order: Order, things: list[str]) -> list[commands.Command]:
         for thing in things:
@@ -276,7 +271,7 @@
                 left = self.granted.setdefault(place.fence, now) + self.terms.good - now
                 halted = order is None or order.halted
                 places.append(PlaceTold(thing, place.ident, place.fence, place.out,
-                                        0 if halted else max(0, left)))
+                                        0 if halted or place.lapsed else max(0, left)))
         known = self.orders_of.get(host, [])
         for ident in list(known):
             order = held.orders.get(ident)
--- a/oakkeel/places/ledger.py
+++ b/oakkeel/places/ledger.py
@@ -29,7 +29,7 @@
 # Of a part. waiting: for a place; out: begun.
 OPEN = ("waiting", "granted", "out")
 ENDS = {"done", "failed", "refused", "halted", "cancelled", "expired"}
-NEXT = {"waiting": {"granted"} | ENDS, "granted": {"out", "waiting"} | ENDS, "out": ENDS,
+NEXT = {"waiting": {"granted", "out"} | ENDS, "granted": {"out", "waiting"} | ENDS, "out": ENDS,
         **{state: set() for state in ENDS}}
 
 
@@ -55,6 +55,7 @@
     ident: str  # of the order that it was granted to
     fence: int
     out: bool = False  # begun, as far as was told
+    lapsed: int = 0  # index from which nobody may begin under it; it counts until its agent has said whether
 
 
 class Lease(msgspec.Struct, array_like=True):
@@ -69,7 +70,6 @@
     layout: Layout = Layout()
     orders: dict[str, Order] = {}
     places: dict[str, Place] = {}
-    lapsed: dict[str, int] = {}  # by thing: index at which a place on it lapsed last
     generations: dict[str, int] = {}
     leases: dict[str, Lease] = {}
     keepers: list[str] = []
@@ -234,7 +234,7 @@
 
     def _began(self, index: int, command: commands.Began) -> object:
         if place := self._place(command.thing, command.fence):
-            place.out = True
+            place.out, place.lapsed = True, 0
             self._move_placed(place, "out", "")
             return index
         return Refusal("no such place")
@@ -260,13 +260,12 @@
 
     def _lapse(self, index: int, command: commands.Lapse) -> object:
         place = self._place(command.thing, command.fence)
-        if place is None or place.out:
+        if place is None or place.out or place.lapsed:
             return Refusal("no such place, or it was begun")
         order = self.held.orders.get(place.ident)
         halted = order and order.halted
         self._move_placed(place, "halted" if halted else "waiting", "its agent was not heard in time")
-        self.held.lapsed[place.thing] = index
-        self._free(place)
+        place.lapsed = index
         return index
 
     def _free(self, place: Place) -> None:
--- a/oakkeel/record/leading.py
+++ b/oakkeel/record/leading.py
@@ -137,7 +137,7 @@
         peer = self.peers.get(life)
         if peer is None or word.sent > now:
             return
-        peer.heard, peer.waiting = max(peer.heard, word.sent), False
+        self._heard(peer, word.sent)
         if word.good:
             if word.index <= self.keeper.log.last:
                 peer.match = max(peer.match, word.index)
@@ -145,18 +145,26 @@
         elif word.index >= peer.match:  # else it was sent before a later one that was good
             peer.next = min(self.keeper.log.last, word.index) + 1
 
+    def _heard(self, peer: Peer, sent: int) -> bool:
+        """Whether it answers what was sent last. Only that makes room for more at once: were a second copy to
+        do so too, a link that doubles messages would double them without end."""
+        peer.heard = max(peer.heard, sent)
+        if sent == peer.sent_at:
+            peer.waiting = False
+        return sent == peer.sent_at
+
     def taken(self, now: int, life: str, word: Taken) -> None:
         peer = self.peers.get(life)
         if peer is None or word.sent > now:
             return
-        peer.heard, peer.waiting = max(peer.heard, word.sent), False
+        latest = self._heard(peer, word.sent)
         snapshot = self.keeper.log.snapshot
         if word.index != snapshot.index:
             peer.behind = False  # a later one has taken its place: from its beginning
         elif word.offset >= len(snapshot.content):
             peer.behind, peer.match = False, max(peer.match, word.index)
             peer.next = peer.match + 1
-        else:
+        elif latest or word.offset > peer.piece:
             peer.piece = word.offset
 
     # Members.
