Make a keeper anew after a full disk however often others write to it

Its log ended with the last refused write; its door went on answering. Excluded: the file (read and written by hand) and the election (the others led). At fault: Keeping._schedule counted the 100 ms before the next try from now, and each letter of the leader, every 80 ms, put it off again.

Change: the time of the next try is kept. The stand-in's full disk was a syntax error of its own and is SQLite's own bound now; the story asks for SQLite's words. smallest goes on until nothing more can be left out.

--- a/oakkeel/agent/keeping.py
+++ b/oakkeel/agent/keeping.py
@@ -61,6 +61,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.fault = ""  # the file can't be written
         self.leads = False
+        self.again_at = 0  # when to make the keeper anew, where there is none
         self.steward: Steward | None = None
 
     def open(self) -> None:
@@ -112,7 +113,7 @@
         """As if it had crashed: made again from what is there, once that can be written."""
         if str(error) != self.fault:
             self.log.say("the record can't be kept", error=str(error))
-        self.fault, self.steward = str(error), None
+        self.fault, self.steward, self.again_at = str(error), None, time.monotonic_ns() + AGAIN
         for future in self.futures.values():
             if not future.done():
                 future.set_exception(Undecided("the record can't be kept here"))
@@ -164,14 +165,14 @@
                 self._carry_out(self.steward.tick(time.monotonic_ns()))
         except Exception as error:  # the agent lives on; what is on disk is whole
             self.log.say("the record failed", error=fault(error))
-            self.steward = None
+            self.steward, self.again_at = None, time.monotonic_ns() + AGAIN
         self._schedule()
 
     def _schedule(self) -> None:
         if self.timer:
             self.timer.cancel()
         now = time.monotonic_ns()
-        at = now + AGAIN
+        at = self.again_at  # not from now: letters that come all the time would put it off for ever
         if self.steward:
             at = min(self.steward.keeper.next_at(), now + (50 * MS if self.steward.granting else SECOND))
         loop = asyncio.get_running_loop()
--- a/oakkeel/emulator/agreement.py
+++ b/oakkeel/emulator/agreement.py
@@ -9,7 +9,7 @@
 
 import pickle
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from oakkeel.agent.deciding import Deciding
@@ -583,13 +583,11 @@
 
 def smallest(schedule: Schedule, fails: Callable[[Schedule], bool]) -> Schedule:
     """Leave out what it fails without, one trouble after the other, until nothing more can be."""
-    from dataclasses import replace
-
-    index = 0
-    while index < len(schedule.troubles):
-        less = replace(schedule, troubles=schedule.troubles[:index] + schedule.troubles[index + 1 :])
-        if fails(less):
-            schedule = less
+    while True:
+        for index in range(len(schedule.troubles)):
+            less = replace(schedule, troubles=schedule.troubles[:index] + schedule.troubles[index + 1 :])
+            if fails(less):
+                schedule = less
+                break
         else:
-            index += 1
-    return schedule
+            return schedule
--- a/oakkeel/standins/agent.py
+++ b/oakkeel/standins/agent.py
@@ -29,7 +29,7 @@
     pages = self._number("page_count") if full else 65536
     self.base.execute(f"PRAGMA max_page_count = {pages}")
     if full:  # more than the free pages of the file can hold
-        statements = [*statements, ("CREATE TABLE padding AS SELECT zeroblob(4000000) AS nothing", ())]
+        statements = [*statements, ("CREATE TABLE padding AS SELECT zeroblob(4000000) AS zeros", ())]
     _write(self, statements)
 
 
