--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 PYTHON ?= python3
 
 .PHONY: build all test lint run demo clean measure-fleet measure-orders measure-decisions measure-listing \
-	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules
+	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules \
+	measure-places
 
 # What a node needs, and no more: the platform calls this.
 build: .venv/built
@@ -40,7 +41,7 @@
 
 # Measurements: each prints one last line with its result. JSON=FILE keeps the figures.
 measure-fleet measure-orders measure-decisions measure-listing measure-fair measure-emulator measure-agreement \
-measure-drain measure-schedules: all
+measure-drain measure-schedules measure-places: all
 	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON)) $(MORE)
 
 # BEFORE=FOLDER, a checkout of the version to compare with.
--- /dev/null
+++ b/measure/places.py
@@ -0,0 +1,163 @@
+"""The record and places at scale, in simulated time: three keepers, a thousand agents, all restarted.
+
+The decisions are those of the program; no socket, file or process is there. An agent asks every half second,
+as it would in a fleet of a thousand; an instance is out for three seconds.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import deque
+from typing import Any
+
+from measure.common import keep, options, processor, say
+from oakkeel.places import commands
+from oakkeel.places.granting import Terms
+from oakkeel.places.holding import Holding
+from oakkeel.places.layout import Group, Layout
+from oakkeel.places.steward import Steward
+from oakkeel.record.disk import Disk
+from oakkeel.record.keeper import Durable, NotLeading, Steps
+from oakkeel.record.pace import Pace
+from oakkeel.record.words import Letter
+
+MS = 1_000_000
+SECOND = 1000 * MS
+OUT = 3 * SECOND
+
+
+class Fleet:
+    def __init__(self, hosts: int, each: int) -> None:
+        names = [f"h{number}" for number in range(hosts)]
+        things = {name: tuple(f"{name}i{number}" for number in range(each)) for name in names}
+        sites = {f"s{number}": [thing for place, name in enumerate(names) if place % 20 == number
+                                for thing in things[name]] for number in range(20)}
+        groups = [Group(f"site {site}", max(1, len(held) // 10), tuple(held)) for site, held in sites.items()]
+        every = tuple(thing for held in things.values() for thing in held)
+        groups.append(Group("fleet", hosts * each // 10, every))
+        self.layout = Layout(things, tuple(groups))
+        self.now = SECOND
+        self.stewards = {name: Steward(self.now, Disk(Durable(name, f"{name}.1")).load(), place, Pace(),
+                                       tuple(names[:3]), self.layout, Terms())
+                         for place, name in enumerate(names[:3])}
+        self.agents = {name: Holding(name, held, 1) for name, held in things.items()}
+        self.back_at: dict[str, int] = {}
+        self.letters: deque[tuple[str, Letter]] = deque()
+        self.count = {"polls": 0, "letters": 0, "poll_ns": 0, "letter_ns": 0, "worst_ns": 0, "entries": 0,
+                      "most_out": 0}
+
+    def carry_out(self, all_steps: list[Steps]) -> None:
+        for steps in all_steps:
+            self.count["entries"] += len(steps.keep.entries) if steps.keep else 0
+            self.letters += steps.send
+
+    def deliver(self) -> None:
+        while self.letters:
+            to, letter = self.letters.popleft()
+            if to in self.stewards:
+                began = time.perf_counter_ns()
+                steps = self.stewards[to].heard(self.now, letter)
+                self.count["letter_ns"] += time.perf_counter_ns() - began
+                self.count["letters"] += 1
+                self.carry_out(steps)
+
+    def poll(self, name: str) -> None:
+        holding = self.agents[name]
+        for thing in holding.things:
+            if self.back_at.get(thing, 0) and self.now >= self.back_at[thing]:
+                del self.back_at[thing]
+                holding.is_back(thing)
+        up = {thing: thing not in self.back_at for thing in holding.things}
+        poll = holding.poll(self.now, up, [], {})
+        leader = next(each for each in self.stewards.values() if each.granting)
+        began = time.perf_counter_ns()
+        answer, steps = leader.polled(self.now, poll)
+        took = time.perf_counter_ns() - began
+        self.count["poll_ns"] += took
+        self.count["worst_ns"] = max(self.count["worst_ns"], took)
+        self.count["polls"] += 1
+        self.carry_out(steps)
+        self.deliver()
+        holding.answered(self.now, self.now, answer)
+        for place in answer.places:
+            if not place.out and holding.may_begin(self.now, place.thing, place.ident) and \
+                    place.thing not in self.back_at and not holding.places[place.thing].begun:
+                holding.begin(self.now, place.thing)
+                self.back_at[place.thing] = self.now + OUT
+
+    def turn(self, names: list[str]) -> None:
+        """Ten milliseconds, and the agents whose time it is."""
+        self.now += 10 * MS
+        for steward in self.stewards.values():
+            if steward.keeper.next_at() <= self.now:
+                self.carry_out(steward.tick(self.now))
+        self.deliver()
+        for name in names:
+            self.poll(name)
+        self.count["most_out"] = max(self.count["most_out"], len(self.back_at))
+
+
+def play(hosts: int, each: int, most: float) -> dict[str, Any]:
+    fleet = Fleet(hosts, each)
+    while not any(steward.granting for steward in fleet.stewards.values()):
+        fleet.turn([])
+    names = list(fleet.agents)
+    slices = [names[place::50] for place in range(50)]
+    for place in range(100):
+        fleet.turn(slices[place % 50])
+    quiet = dict(fleet.count)
+    leader = next(each for each in fleet.stewards.values() if each.granting)
+    every = [thing for name in names for thing in fleet.layout.hosts[name]]
+    for place in range(0, len(every), 1000):
+        try:
+            _, steps = leader.propose(fleet.now, commands.Order(
+                f"o{place}", "asha", "restart", 0, 3600 * SECOND, False,
+                [(thing, 1) for thing in every[place : place + 1000]]))
+        except NotLeading as error:
+            raise RuntimeError(f"no leader in a calm simulation: {error}") from None
+        fleet.carry_out(steps)
+        fleet.deliver()
+    began, real, turns = fleet.now, time.monotonic(), 0
+    before = dict(fleet.count)
+    while any(order.open for order in leader.ledger.held.orders.values()) and time.monotonic() - real < most:
+        fleet.turn(slices[turns % 50])
+        turns += 1
+    took = (fleet.now - began) / SECOND
+    spent = {name: value - before[name] for name, value in fleet.count.items()}
+    return {"hosts": hosts, "instances": hosts * each, "ended": not any(
+                order.open for order in leader.ledger.held.orders.values()),
+            "simulated_s": took, "real_s": time.monotonic() - real,
+            "poll_us": spent["poll_ns"] / max(1, spent["polls"]) / 1000,
+            "quiet_poll_us": quiet["poll_ns"] / max(1, quiet["polls"]) / 1000,
+            "worst_poll_ms": fleet.count["worst_ns"] / 1e6,
+            "letter_us": spent["letter_ns"] / max(1, spent["letters"]) / 1000,
+            "polls_a_second": spent["polls"] / took, "letters_a_second": spent["letters"] / took,
+            "leader_busy": (spent["poll_ns"] + spent["letter_ns"] / 2) / 1e9 / took,
+            "entries": spent["entries"], "most_out": fleet.count["most_out"], "bound": hosts * each // 10,
+            "snapshot_kb": len(leader.ledger.fold()) / 1024}
+
+
+def main() -> int:
+    told = options(__doc__ or "", hosts=1000, each=10, most=240.0)
+    figures = []
+    for hosts in (told.hosts // 10, told.hosts):
+        found = play(hosts, told.each, told.most)
+        figures.append(found)
+        say(f"{found['instances']} instances on {hosts} hosts restarted in {found['simulated_s']:.0f} s"
+            f" simulated ({found['real_s']:.0f} s real), at most {found['most_out']} of {found['bound']} out;"
+            f" {found['polls_a_second']:.0f} polls and {found['letters_a_second']:.0f} letters a second,"
+            f" {found['poll_us']:.0f} us a poll ({found['quiet_poll_us']:.0f} with no order, worst"
+            f" {found['worst_poll_ms']:.0f} ms), {found['letter_us']:.0f} us a letter")
+    keep(told, {"machine": processor(), "plays": figures})
+    small, large = figures
+    messages = large["polls_a_second"] + large["letters_a_second"]
+    say(f"places: {large['instances']} instances, {large['hosts']} agents, simulated:"
+        f" {large['poll_us']:.0f} us a poll, {messages:.0f} messages a second, the leader busy"
+        f" {large['leader_busy']:.2f} of a core, {large['snapshot_kb']:.0f} KB a snapshot,"
+        f" {large['poll_us'] / small['poll_us']:.2f} times as much a poll as with {small['hosts']}")
+    return 0 if all(each["ended"] and each["most_out"] <= each["bound"] for each in figures) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/oakkeel/agent/acting.py
+++ b/oakkeel/agent/acting.py
@@ -111,7 +111,9 @@
                 if answer.why:
                     instance.why = f"told to stay: {answer.why}"
                 return
-            answer = await client.leave(process.generation, ANSWER / SECOND)
+            # All is answered before it could be killed.
+            answer = await client.leave(process.generation, ANSWER / SECOND,
+                                        self.supervision.patience.drain * 9 // 10)
             self.log.say("told to leave", answer=answer.why or None, **facts)
             if answer.done:
                 return
--- a/oakkeel/agent/deciding.py
+++ b/oakkeel/agent/deciding.py
@@ -42,7 +42,8 @@
             if not self.lost and instance.generation + self.block // 2 > \
                     self.holding.generations.get(instance.name, 0):
                 reserve[instance.name] = instance.generation + self.block
-        return self.holding.poll(now, up, self._ended(), reserve)
+        owes = {each.name: told for each in self.supervision.instances if (told := _owes(each))}
+        return self.holding.poll(now, up, self._ended(), reserve, owes)
 
     def _look(self, instance: Instance) -> None:
         """Whether what was taken out under a place is over."""
@@ -144,3 +145,13 @@
                 self.refused[told.ident, part.instance.name] = part.why
             return None
         return order
+
+
+def _owes(instance: Instance) -> str:
+    """What a node that leaves has yet to answer, by its own last report."""
+    report = instance.report
+    if instance.phase is not Phase.DRAINING or not getattr(report, "owes", 0):
+        return ""
+    groups = ", ".join(f"{count} {group}" for group, count in sorted(report.owes_by.items()))
+    return (f"{report.owes}: {report.hold} held, {report.runs} running, {report.calls} at calls"
+            f" on {report.connections} connections" + (f"; {groups}" if groups else ""))[:200]
--- a/oakkeel/agent/messages.py
+++ b/oakkeel/agent/messages.py
@@ -173,6 +173,7 @@
     state: str
     why: str
     place: int  # the fence of its place; 0: none
+    owes: str = ""  # what it has yet to answer while it leaves
 
 
 class FleetTold(msgspec.Struct, tag="fleet"):
--- a/oakkeel/agent/told.py
+++ b/oakkeel/agent/told.py
@@ -70,15 +70,19 @@
 
 
 def fleet_told(keeping: Keeping, order: Agreed) -> messages.FleetTold:
-    places, hosts = {}, {}
+    places, hosts, owes = {}, {}, {}
     if keeping.steward:
         places = keeping.steward.ledger.held.places
         hosts = {thing: host for host, things in keeping.layout.hosts.items() for thing in things}
+        if keeping.steward.granting:
+            owes = {thing: told for host in keeping.steward.granting.hosts.values()
+                    for thing, told in host.owes.items()}
     parts = []
     for thing, part in order.parts.items():
         place = places.get(thing)
         fence = place.fence if place and place.ident == order.ident else 0
-        parts.append(messages.FleetPart(thing, hosts.get(thing, ""), part.state, part.why, fence))
+        parts.append(messages.FleetPart(thing, hosts.get(thing, ""), part.state, part.why, fence,
+                                        owes.get(thing, "")))
     return messages.FleetTold(order.ident, order.operator, order.verb, order.unix, order.whole, order.halted,
                               order.cancelled, parts)
 
--- a/oakkeel/cli/ordering.py
+++ b/oakkeel/cli/ordering.py
@@ -6,6 +6,7 @@
 import secrets
 import time
 from collections.abc import Callable, Sequence
+from typing import NoReturn
 
 import click
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
@@ -51,17 +52,19 @@
     @click.option("--supersede", is_flag=True,
                   help="End another operator's open order on the same instances.")
     @click.option("--whole", is_flag=True, help="All or nothing, in a fleet with keepers.")
+    @click.option("--halt", "halted", metavar="ORDER", help="Halt that order in place of a new one.")
     @click.option("--id", "ident", metavar="ID", help="Of the order: the same once more is carried out once.")
     @fleet_options
     def command(names: tuple[str, ...], sites: tuple[str, ...], hosts: tuple[str, ...],
-                states: tuple[str, ...],
-                everything: bool, yes: bool, no_wait: bool, lasts: int, supersede: bool, whole: bool,
-                ident: str | None, settings: str, operator: str | None, deadline: int | None,
-                output: str) -> None:
+                states: tuple[str, ...], everything: bool, yes: bool, no_wait: bool, lasts: int,
+                supersede: bool, whole: bool, halted: str | None, ident: str | None, settings: str,
+                operator: str | None, deadline: int | None, output: str) -> None:
         choice = Choice(names, sites, hosts, states)
+        asker = Asker(settings, operator, deadline)
+        if halted:
+            run_halt(asker, halted, output == "json")
         if choice.all != everything:
             fail("say which instances: names, --site, --host or --state, or else --all")
-        asker = Asker(settings, operator, deadline)
         ident = ident or secrets.token_hex(6)
         if asker.fleet.keepers and takes_out:
             if supersede:
@@ -165,10 +168,13 @@
     \b
     Example: oakkeel halt 3f9a01c2d4e5
     """
-    asker = Asker(settings, operator, deadline)
+    run_halt(Asker(settings, operator, deadline), ident, output == "json")
+
+
+def run_halt(asker: Asker, ident: str, as_json: bool) -> NoReturn:
     if not asker.fleet.keepers:
         fail("halt needs keepers in the settings; cancel ends what an order has not begun")
-    run(end(asker, ident, False, output == "json"))
+    run(end(asker, ident, False, as_json))
 
 
 COMMANDS: list[Callable] = [
--- a/oakkeel/emulator/troubles.py
+++ b/oakkeel/emulator/troubles.py
@@ -44,7 +44,6 @@
     bound: int  # a site
     troubles: tuple[Trouble, ...]
     lasts: int = 22 * SECOND
-    services: int = 0  # below, of one kind; instances hang on them in turn
 
     def told(self) -> dict[str, Any]:
         return asdict(self)
--- a/oakkeel/places/granting.py
+++ b/oakkeel/places/granting.py
@@ -46,6 +46,7 @@
     count: int
     at: int
     told: dict[str, bool]  # by thing: whether it serves
+    owes: dict[str, str]  # by thing that leaves
 
 
 class Granting:
@@ -103,7 +104,8 @@
         if known and (known.life, known.count) > (poll.life, poll.count) and known.life == poll.life:
             return []
         told = {each.name: each.up for each in poll.things}
-        self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, told)
+        self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, told, {
+            each.name: each.owes for each in poll.things if each.owes})
         if known is None or known.told != told or now - known.at > self.terms.silent:
             self._believe(poll.host, host)
         wanted: list[commands.Command] = []
--- a/oakkeel/places/holding.py
+++ b/oakkeel/places/holding.py
@@ -48,11 +48,13 @@
             if begun:
                 self.places[thing] = Held(thing, ident, fence, 0, True)
 
-    def poll(self, now: int, up: dict[str, bool], ended: list[PartTold], reserve: dict[str, int]) -> Poll:
+    def poll(self, now: int, up: dict[str, bool], ended: list[PartTold], reserve: dict[str, int],
+             owes: dict[str, str] | None = None) -> Poll:
         self.count += 1
         things = []
         for thing in self.things:
-            held, told = self.places.get(thing), ThingTold(thing, up.get(thing, False))
+            held = self.places.get(thing)
+            told = ThingTold(thing, up.get(thing, False), owes=(owes or {}).get(thing, ""))
             if held:
                 told.begun = held.fence if held.begun else 0
                 told.back, told.given = held.back, held.fence if held.given else 0
--- a/oakkeel/places/words.py
+++ b/oakkeel/places/words.py
@@ -11,6 +11,7 @@
     begun: int = 0  # fence of the place under which it was taken out
     back: bool = False  # and that is over
     given: int = 0  # fence of a place that will not be used
+    owes: str = ""  # what it has yet to answer while it leaves, for people
 
 
 class PartTold(msgspec.Struct, array_like=True):
--- a/oakkeel/tables/record.py
+++ b/oakkeel/tables/record.py
@@ -67,9 +67,10 @@
     if order.cancelled or order.halted:
         title += f", {'cancelled' if order.cancelled else 'halted'} by {order.cancelled or order.halted}"
     table = Table(box=None, header_style="bold", pad_edge=False, title=title, title_justify="left")
-    for column in ("thing", "host", "state", "place", "remarks"):
+    for column in ("thing", "host", "state", "place", "owes", "remarks"):
         table.add_column(column)
     for part in sorted(order.parts, key=lambda each: each.thing):
         colour = COLOURS.get(part.state, "red")
-        table.add_row(part.thing, part.host, f"[{colour}]{part.state}[/]", str(part.place or "-"), part.why)
+        table.add_row(part.thing, part.host, f"[{colour}]{part.state}[/]", str(part.place or "-"), part.owes,
+                      part.why)
     return table
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -291,6 +291,73 @@
             Net("a").leader().propose(SECOND, bytes(5 << 20))
 
 
+class KeepersMachine(RuleBasedStateMachine):
+    """Three real keepers against a list: whatever is cut, crashed or proposed in whatever order, what was
+    answered as agreed stays, in one order, and no term has two leaders."""
+
+    names = st.sampled_from("abc")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = Net("a", "b", "c", pace=Pace(fold=3))
+        self.net.run(3 * SECOND)
+        self.proposals: list = []
+        self.leaders: dict[int, str] = {}
+        self.agreed: list[bytes] = []
+
+    @rule(wait=st.integers(1, 2000))
+    def time_goes_on(self, wait):
+        self.net.run(wait * MS)
+
+    @rule(name=names, other=names, both=st.booleans())
+    def cut(self, name, other, both):
+        self.net.cut |= {(name, other), (other, name)} if both else {(name, other)}
+
+    @rule()
+    def heal(self):
+        self.net.cut.clear()
+
+    @rule(name=names, loses_letters=st.booleans())
+    def crash(self, name, loses_letters):
+        self.net.start(name)
+        if loses_letters:
+            self.net.waiting = [each for each in self.net.waiting if each[3].name != name]
+
+    @rule(name=names)
+    def propose(self, name):
+        content = b"%d" % len(self.proposals)
+        keeper = self.net.keepers[name]
+        try:
+            proposal, steps = keeper.propose(self.net.now, content)
+        except NotLeading:
+            return
+        self.proposals.append((content, proposal))
+        self.net.carry_out(name, steps)
+        self.net.run(5 * MS)
+
+    @rule(name=names)
+    def letters_come_twice(self, name):
+        self.net.waiting += [(at, -count, to, letter) for at, count, to, letter in self.net.waiting
+                             if to == name]
+
+    @invariant()
+    def what_is_agreed_stays(self):
+        for keeper in self.net.keepers.values():
+            lines = keeper.machine.lines
+            common = min(len(lines), len(self.agreed))
+            assert lines[:common] == self.agreed[:common]
+            self.agreed = max(self.agreed, list(lines), key=len)
+            if keeper.role is Role.LEADING:
+                assert self.leaders.setdefault(keeper.term, keeper.life) == keeper.life
+        for content, proposal in self.proposals:
+            if proposal.fate is Fate.AGREED:
+                assert content in self.agreed
+
+
+KeepersMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=25, deadline=None)
+KeepersCase = KeepersMachine.TestCase
+
+
 class FileStories(unittest.TestCase):
     def setUp(self) -> None:
         self.path = os.path.join(self.enterContext(tempfile.TemporaryDirectory()), "record.db")
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -13,6 +13,7 @@
 import time
 import unittest
 
+from measure import drain
 from oakkeel.agent import messages
 from oakkeel.audit.logs import audit
 from oakkeel.fleet.agents import NoLeader, ask_one
@@ -437,7 +438,7 @@
         shown = await asyncio.to_thread(run, "places", "--output", "json")
         told = json.loads(shown.stdout)
         self.assertEqual([each["thing"] for each in told["out"]], ["n4a"])
-        halted = await asyncio.to_thread(run, "halt", "d1")
+        halted = await asyncio.to_thread(run, "drain", "--halt", "d1")
         self.assertEqual(halted.returncode, 0, halted)
         back = await asyncio.to_thread(run, "cancel", "d1")
         self.assertEqual(back.returncode, 0, back)
@@ -446,6 +447,14 @@
         self.assertEqual((again.returncode, again.stderr), (1, "oakkeel: no such order\n"))
 
 
+class LoadStories(unittest.IsolatedAsyncioTestCase):
+    async def test_drains_and_cancels_in_jumps_of_traffic_lose_nothing_and_run_nothing_after_the_grace(self):
+        figures = await drain.measure(6, 100.0, 3)
+        self.assertEqual((figures["lost"], figures["doubled"], figures["after_grace"]), (0, 0, 0), figures)
+        self.assertEqual(figures["counts"]["ok"], figures["counts"]["sent"])
+        self.assertGreater(figures["counts"]["ok"], 100)
+
+
 class RawStories(unittest.IsolatedAsyncioTestCase):
     async def test_a_faulty_link_loses_whole_messages_and_passes_the_others_whole(self):
         from oakkeel.standins.links import FaultyLink, Way
