--- a/oakkeel/audit/logs.py
+++ b/oakkeel/audit/logs.py
@@ -21,7 +21,7 @@
                 for line in file:
                     try:
                         told = json.loads(line)
-                        found.append((told["mono"], told["event"], {**told, "host": host}))
+                        found.append((told["mono"], told["event"], {"host": host, **told}))
                     except (ValueError, KeyError, TypeError):
                         continue  # a line cut short by a kill
         for name in names:
--- a/oakkeel/standins/rig.py
+++ b/oakkeel/standins/rig.py
@@ -188,6 +188,12 @@
                 for name, value in faults.items():
                     setattr(way, name, value)
 
+    def break_links(self) -> None:
+        """Close every connection that is open now."""
+        self.say("break")
+        for link in self.links.values():
+            link.end()
+
     def heal(self) -> None:
         self.say("heal")
         for link in self.links.values():
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -153,6 +153,7 @@
         self.rig.spoil(loss=0.1, double=0.1, altered=0.05, mixed=0.02)
         await self.order("o1", "restart", ["n1a", "n2a", "n3a", "n4a"], lasts=60)
         self.rig.heal()
+        self.rig.break_links()
         self.rig.spoil(delay=1.5)  # longer than any lease
         await asyncio.sleep(2)
         self.rig.heal()
@@ -447,6 +448,46 @@
         self.assertEqual((again.returncode, again.stderr), (1, "oakkeel: no such order\n"))
 
 
+class AuditStories(unittest.TestCase):
+    """What agents and nodes wrote down, with a fault planted in it, told to the auditor."""
+
+    def setUp(self) -> None:
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        os.makedirs(os.path.join(self.folder, "h1"))
+        self.hosts = {"h1": ["n1", "n2"]}
+
+    def judge(self, lines: list[dict], **journals: str) -> list[str]:
+        with open(os.path.join(self.folder, "h1.agent.log"), "w", encoding="utf-8") as file:
+            file.writelines(json.dumps(line) + "\n" for line in lines)
+            file.write('{"event": "cut short by a ki')
+        for name, text in journals.items():
+            with open(os.path.join(self.folder, "h1", f"{name}.journal"), "w", encoding="ascii") as file:
+                file.write(text)
+        return audit(self.folder, self.hosts, {"site": (1, ["n1", "n2"])}, LATE).end(0)
+
+    @staticmethod
+    def left(at: int, name: str, fence: int) -> list[dict]:
+        return [{"mono": at, "event": "a place is granted", "of": name, "fence": fence},
+                {"mono": at + 1, "event": "told to leave", "of": name, "fence": fence, "order": "o"}]
+
+    def test_each_planted_fault_is_caught_and_a_good_run_is_not(self):
+        up = "start 1 9 1\nup 1 9 2\n"
+        good = [*self.left(10, "n1", 3), *self.left(30, "n2", 5)]
+        self.assertEqual(self.judge(good, n1=up + "leave 1 9 12\nend 1 9 13\nstart 2 9 14\nup 2 9 20\n",
+                                    n2=up), [])
+        for planted, lines, journal in (
+                ("promise 1", [{"mono": 1, "event": "leads the record", "term": 4},
+                               {"mono": 2, "event": "leads the record", "term": 4}], up),
+                ("promise 4", good, up),  # the first is not back
+                ("promise 5", [self.left(10, "n1", 3)[1]], up),  # no grant
+                ("promise 5", [*self.left(10, "n1", 3), *self.left(30, "n1", 2)], up),
+                ("promise 6", [], up + "end 1 9 3\nstart 1 9 4\n")):
+            if planted == "promise 1":
+                lines[1]["host"] = "h2"
+            with self.subTest(planted):
+                self.assertRegex("\n".join(self.judge(lines, n1=journal, n2=up)), planted)
+
+
 class LoadStories(unittest.IsolatedAsyncioTestCase):
     async def test_drains_and_cancels_in_jumps_of_traffic_lose_nothing_and_run_nothing_after_the_grace(self):
         figures = await drain.measure(6, 100.0, 3)
