End a halted order's part on its host too; ask nobody whether a bound that is agreed is meant

Seen, tried as a new user: after halt and cancel n5 still showed 'asha's drain waiting', and the next order on it was refused for as long as the first one lasted. Looked into: the ledger (part halted) and the agent (order waiting). At fault: Deciding.answered cancelled only what the record still tells, and a part that is over on a host is told no more.

The auditor's promise 4 speaks of things that serve: a schedule drained a dead one while another was dead. Files in schedules are lost one at a time.

--- a/oakkeel/agent/deciding.py
+++ b/oakkeel/agent/deciding.py
@@ -108,6 +108,9 @@
                     part.state is PartState.WAITING for part in order.parts):
                 self.orders.cancel(now, order.ident, told.halted)
         current = {told.ident for told in answer.orders}
+        for order in [part.order for part in self.orders.acting if part.state is PartState.WAITING
+                      and part.order.verb is not Verb.START and part.order.ident not in current]:
+            self.orders.cancel(now, order.ident, "the record")  # it is over there, and must not stand here
         self.refused = {key: why for key, why in self.refused.items() if key[0] in current}
         return taken
 
--- a/oakkeel/cli/ordering.py
+++ b/oakkeel/cli/ordering.py
@@ -69,7 +69,7 @@
         if asker.fleet.keepers and takes_out:
             if supersede:
                 fail("a record knows no --supersede: halt or cancel the order that stands")
-            run(agree(asker, verb, choice, not yes, lasts, whole, ident, no_wait, output == "json"))
+            run(agree(asker, verb, choice, lasts, whole, ident, no_wait, output == "json"))
         if whole:
             fail("--whole needs keepers in the settings: each agent of this fleet is on its own")
         run(carry_out(asker, verb, choice, takes_out and not yes, lasts, supersede, ident, no_wait,
--- a/oakkeel/cli/record.py
+++ b/oakkeel/cli/record.py
@@ -11,13 +11,12 @@
 import msgspec
 
 from oakkeel.agent import messages
-from oakkeel.cli.choosing import choose, sure
+from oakkeel.cli.choosing import choose
 from oakkeel.cli.common import (
     CODES,
     DONE,
     SOME_FAILED,
     SOME_SILENT,
-    USAGE,
     Asker,
     choice_options,
     err,
@@ -53,9 +52,12 @@
     return answer
 
 
-async def agree(asker: Asker, verb: str, choice: Choice, ask_first: bool, lasts: int, whole: bool, ident: str,
-                no_wait: bool, as_json: bool) -> int:
-    """Put an order to the record, follow it to its end, and tell what became of every part."""
+async def agree(asker: Asker, verb: str, choice: Choice, lasts: int, whole: bool, ident: str, no_wait: bool,
+                as_json: bool) -> int:
+    """Put an order to the record, follow it to its end, and tell what became of every part.
+
+    The operator is not asked whether he is sure: no more go out at once than was agreed.
+    """
     assert asker.fleet.keepers is not None
     services = {each.name for each in asker.fleet.keepers.services}
     if named := [name for name in choice.names if name in services]:
@@ -63,9 +65,7 @@
             fail("name either instances or services below")
         things = [(name, 0) for name in named]
     else:
-        rows, chosen = await choose(asker, choice)
-        if ask_first and not sure(verb, rows, chosen):
-            return USAGE
+        _, chosen = await choose(asker, choice)
         if unseen := [row.name for row in chosen if row.told is None]:
             fail(f"{unseen[0]}: its agent did not answer, so no order can say for which process it is",
                  SOME_SILENT)
--- a/oakkeel/emulator/agreement.py
+++ b/oakkeel/emulator/agreement.py
@@ -14,7 +14,7 @@
 
 from oakkeel.agent.deciding import Deciding
 from oakkeel.agent.instances import Goal, Instance, Phase
-from oakkeel.agent.orders import Orders
+from oakkeel.agent.orders import Orders, Verb
 from oakkeel.agent.supervision import Act, Patience, Step, Supervision
 from oakkeel.audit.agreement import AgreementAudit
 from oakkeel.emulator.clock import Clock, Happening
@@ -538,11 +538,10 @@
                    and each.steward.granting]
         if not leaders:
             return False
-        voters = [each for each in leaders[-1].members if each.votes]
-        whole = [each for each in voters if (disk := self.hosts[each.name].disk)
-                 and disk.head.life == each.life and each.name != host.name
-                 and disk.head.epoch and self.hosts[each.name].running]
-        return 2 * len(whole) > len(voters)
+        # One at a time: a learner may be a voter the moment after, and one who was replaced is none yet.
+        members = [each for each in leaders[-1].members if each.name != host.name]
+        return all((disk := self.hosts[each.name].disk) and disk.head.life == each.life and disk.head.epoch
+                   and each.votes and self.hosts[each.name].running for each in members)
 
     def _pairs(self, trouble: Trouble, name: str, other: str) -> list[tuple[str, str]]:
         names = sorted(self.hosts)
@@ -573,6 +572,11 @@
         ledger = leaders[0].steward.ledger  # type: ignore[union-attr]
         found = [f"order {order.ident} is open: {order.parts}" for order in ledger.held.orders.values()
                  if any(part.state in OPEN for part in order.parts.values())]
+        for host in self.hosts.values():
+            for part in host.orders.acting:
+                order = ledger.held.orders.get(part.order.ident)
+                if part.open and part.order.verb is not Verb.START and not (order and order.open):
+                    found.append(f"{host.name}: a part of {part.order.ident} waits for nothing")
         return found
 
 
--- a/oakkeel/tables/record.py
+++ b/oakkeel/tables/record.py
@@ -65,7 +65,8 @@
 def order_table(order: messages.FleetTold) -> Table:
     title = f"{order.verb}, order {order.ident}" + (", all or nothing" if order.whole else "")
     if order.cancelled or order.halted:
-        title += f", {'cancelled' if order.cancelled else 'halted'} by {order.cancelled or order.halted}"
+        title += (f", cancelled by {order.cancelled}" if order.cancelled else
+                  ", its time is over" if order.halted == "its time" else f", halted by {order.halted}")
     table = Table(box=None, header_style="bold", pad_edge=False, title=title, title_justify="left")
     for column in ("thing", "host", "state", "place", "owes", "remarks"):
         table.add_column(column)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -308,6 +308,10 @@
         await self.rig.ended("o1")
         self.assertEqual(sum(self.words(name).count("leave") for name in everything), left)
         self.assertLess(left, 6)
+        told = await self.rig.look()  # and nothing of it stands in the way of what comes next
+        self.assertEqual([name for name in everything if told[name].order], [])
+        await self.order("o2", "restart", everything[:2])
+        self.assertEqual(set((await self.rig.ended("o2")).values()), {"done"})
 
     async def test_with_no_majority_nothing_new_leaves_and_what_serves_goes_on(self):
         keys = [host for host in self.keepers if host != await self.rig.leader()]
