Let leases end and be renewed under one fence; decide whom an agent asks free of I/O

Change: Granting ends a lease once its time is over by any clock, a renewal keeps the fence, places/lease.py is the holder's part; agent/whom.py. Dropped: Terms.block, Granting.began, a listing of the drain model that nobody called.

--- a/oakkeel/agent/polling.py
+++ b/oakkeel/agent/polling.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 
@@ -12,6 +12,7 @@
 from oakkeel.agent.below import Below
 from oakkeel.agent.deciding import Deciding
 from oakkeel.agent.keeping import Keeping
+from oakkeel.agent.whom import Whom
 from oakkeel.log import Log, fault
 from oakkeel.places.words import Agreed
 from oakkeel.sealing.link import Link, LinkError
@@ -33,29 +34,32 @@
         assert fleet.keepers is not None
         self.fleet, self.name, self.key, self.deciding, self.log = fleet, name, keys[name], deciding, log
         self.heard = heard
-        self.keepers: Sequence[str] = fleet.keepers.hosts
+        self.whom = Whom(fleet.keepers.hosts, (host.name for host in fleet.hosts))
         self.keeping: Keeping | None = None
         self.links: dict[str, Link] = {}
-        self.leader = self.keepers[0]
-        self.turn = 0
         self.heard_at = 0  # monotonic; 0: never
         self.why = "not asked yet"
         self.soon = asyncio.Event()
         self.pause = max(POLL, POLL_EACH * len(fleet.hosts))
 
+    @property
+    def leader(self) -> str:
+        """Whom it asks."""
+        return self.whom.name
+
     async def run(self) -> None:
         while True:
             try:
                 answer = await self._ask()
                 if isinstance(answer, messages.Elsewhere):
                     self.why = answer.why
-                    self._turn_to(answer.leader)
+                    self.whom.elsewhere(answer.leader)
                 elif not isinstance(answer, messages.AgreedTold):
                     self.why = getattr(answer, "why", "an answer to another question")
-                    self._turn_to("")
+                    self.whom.elsewhere("")
             except (LinkError, msgspec.MsgspecError) as error:
                 self.why = f"{self.leader}: {error}"
-                self._turn_to("")
+                self.whom.elsewhere("")
             except Exception as error:  # the agent lives on
                 self.log.say("a poll failed", error=fault(error))
             self.soon.clear()
@@ -89,17 +93,9 @@
             return
         self.heard_at, self.why = time.monotonic_ns(), ""
         if agreed.keepers:
-            self.keepers = agreed.keepers
+            self.whom.told(agreed.keepers)
         self.heard(agreed)
 
-    def _turn_to(self, leader: str) -> None:
-        """Whom to ask next: the one that was named, or each keeper in turn."""
-        if leader and leader != self.leader and leader in {host.name for host in self.fleet.hosts}:
-            self.leader = leader
-            return
-        self.turn += 1
-        self.leader = self.keepers[self.turn % len(self.keepers)]
-
     def close(self) -> None:
         for link in self.links.values():
             link.close()
--- a/oakkeel/models/drains.py
+++ b/oakkeel/models/drains.py
@@ -7,13 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from itertools import product
 
 import z3
 
 # An instance as its agent sees it, what its node does, and whether a cancel stands.
-PHASES = ("serving", "draining", "stopped", "starting")
-NODES = ("serves", "grace", "emptying", "gone")
+# serving, draining, stopped, starting; serves, grace, emptying, gone; none, stands
 State = tuple[str, str, str]
 ENDS = {("serving", "serves", "none"), ("stopped", "gone", "none")}
 
@@ -72,8 +70,3 @@
     for state in states - ENDS:
         solver.add(*[rank[after] < rank[state] for after in steps(state, rules)])
     return solver.check() == z3.sat
-
-
-def unknown() -> list[State]:
-    """States of the product that no run reaches: for whoever reads the model."""
-    return sorted(set(product(PHASES, NODES, ("none", "stands"))) - reached())
--- a/oakkeel/places/granting.py
+++ b/oakkeel/places/granting.py
@@ -31,11 +31,14 @@
     good: int = 3 * SECOND  # a place may be begun
     drift: float = 0.04
     silent: int = 2 * SECOND  # an agent is not heard: its things count as out
-    block: int = 64  # generations that an agent is given beyond those it used
+
+    def beyond(self, time: int) -> int:
+        """So long by our clock, that a time is over by any other."""
+        return int(time * (1 + self.drift) / (1 - self.drift))
 
     @property
     def lapse(self) -> int:
-        return int(self.good * (1 + self.drift) / (1 - self.drift))
+        return self.beyond(self.good)
 
 
 @dataclass(slots=True, eq=False)
@@ -53,9 +56,10 @@
     """Made when a leader begins, and thrown away when it ends. Calls return commands to propose."""
 
     def __init__(self, now: int, ledger: Ledger, terms: Terms) -> None:
-        self.ledger, self.terms, self.began = ledger, terms, now
+        self.ledger, self.terms = ledger, terms
         self.hosts: dict[str, Heard] = {}
         self.granted: dict[int, int] = {}  # when places were granted, or when we began, by fence
+        self.leases_at: dict[str, int] = {}  # when leases were taken or renewed, by name
         self.orders_at: dict[str, int] = {}  # the same of orders that are open
         self.orders_of: dict[str, list[str]] = {}  # by host: orders that concern it
         self.waiting: dict[str, dict[tuple[str, ...], dict[str, None]]] = {}  # things, by order and groups
@@ -145,6 +149,8 @@
         held = self.ledger.held
         if isinstance(command, commands.Lay):
             return self._lay(now)
+        if isinstance(command, commands.Hold):
+            self.leases_at[command.name] = now
         if isinstance(command, commands.Order):
             order = held.orders.get(command.ident)
             if order and order.index == index:
@@ -198,6 +204,9 @@
         if len(self.granted) > 2 * len(held.places) + 64:
             fences = {place.fence for place in held.places.values()}
             self.granted = {fence: at for fence, at in self.granted.items() if fence in fences}
+        for name, lease in held.leases.items():  # a new leader gives each its whole time anew
+            if now - self.leases_at.setdefault(name, now) > self.terms.beyond(lease.lasts):
+                wanted.append(commands.Release(name, lease.fence))
         for ident, since in list(self.orders_at.items()):
             order = held.orders.get(ident)
             if order is None or not order.open:
--- a/oakkeel/places/ledger.py
+++ b/oakkeel/places/ledger.py
@@ -308,7 +308,10 @@
         lease = self.held.leases.get(command.name)
         if lease and lease.holder != command.holder:
             return Refusal(f"{lease.holder} holds it")
-        if len(self.held.leases) >= MOST_OPEN and lease is None:
+        if lease:  # renewed: what was done under its fence goes on
+            lease.lasts = command.lasts
+            return lease.fence
+        if len(self.held.leases) >= MOST_OPEN:
             return Refusal("too many leases")
         self.held.leases[command.name] = Lease(command.holder, index, command.lasts)
         return index
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -12,12 +12,14 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from oakkeel.agent.whom import Whom
 from oakkeel.audit.agreement import AgreementAudit
 from oakkeel.emulator.agreement import play, smallest
 from oakkeel.emulator.troubles import MS, SECOND, Schedule, Trouble, draw, read
 from oakkeel.places import commands
 from oakkeel.places.granting import Granting, Terms
 from oakkeel.places.holding import Holding
+from oakkeel.places.lease import LeaseHeld
 from oakkeel.places.layout import Group, Layout, Out
 from oakkeel.places.ledger import Ledger, Refusal
 from oakkeel.places.words import Agreed, PlaceTold
@@ -594,16 +596,42 @@
         again.answered(SECOND, SECOND, Agreed("e", 9, [PlaceTold("a", "o0", 4, False, SECOND)], [], {}))
         self.assertFalse(again.may_begin(SECOND, "a", "o0"))
 
-    def test_generations_and_fences_only_rise_and_a_lease_has_one_holder(self):
+    def test_generations_only_rise(self):
         self.put(commands.Reserve("h1", {"a": 64}))
         self.put(commands.Reserve("h1", {"a": 3}))
         self.assertEqual(self.ledger.held.generations["a"], 64)
-        self.put(commands.Hold("release", "h1", SECOND))
-        self.assertIsInstance(self.put(commands.Hold("release", "h2", SECOND)), Refusal)
-        fence = self.ledger.held.leases["release"].fence
-        self.put(commands.Release("release", fence))
-        self.put(commands.Hold("release", "h2", SECOND))
-        self.assertGreater(self.ledger.held.leases["release"].fence, fence)
+
+    def test_a_lease_has_one_holder_at_a_time_and_the_next_a_higher_fence(self):
+        first, second = LeaseHeld("release", "h1", SECOND), LeaseHeld("release", "h2", SECOND)
+        asked = self.now
+        self.assertTrue(first.answered(asked, self.put(first.asking())))
+        fence = first.fence
+        self.assertFalse(second.answered(self.now, self.put(second.asking())))
+        self.now += SECOND // 2
+        self.assertTrue(first.answered(self.now, self.put(first.asking())))  # renewed: the fence stays
+        self.assertEqual((first.fence, first.until), (fence, asked + SECOND // 2 + SECOND))
+        self.lead()  # a new leader does not know when that was
+        self.now += SECOND
+        self.assertFalse(first.holds(self.now))
+        self.put(*self.granting.tick(self.now))
+        self.assertFalse(second.answered(self.now, self.put(second.asking())))
+        self.now += self.granting.terms.beyond(SECOND) + MS
+        self.put(*self.granting.tick(self.now))
+        self.assertTrue(second.answered(self.now, self.put(second.asking())))
+        self.assertGreater(second.fence, fence)
+        self.assertIsInstance(self.put(commands.Release("release", fence)), Refusal)
+        self.assertFalse(first.answered(self.now, Refusal("h2 holds it")))
+
+    def test_an_agent_asks_whom_it_was_told_leads_or_each_keeper_in_turn(self):
+        whom = Whom(["h1", "h2", "h3"], ["h1", "h2", "h3", "h4"])
+        asked = []
+        for leader in ("", "", "h4", "h9", "h4"):
+            whom.elsewhere(leader)
+            asked.append(whom.name)
+        self.assertEqual(asked, ["h2", "h3", "h4", "h1", "h4"])
+        whom.told(["h9"])
+        whom.elsewhere("")
+        self.assertIn(whom.name, ("h1", "h2", "h3"))
 
     def test_a_command_of_a_later_version_is_the_same_no_everywhere(self):
         self.assertIsInstance(self.ledger.apply(99, b"\x91\xa5other"), Refusal)
