Believe nothing that an agent said before it was started anew

Need: read again, a poll of an agent's earlier life that was still on its way was taken for its latest word, as lives have no order.

Change: the leader remembers the last eight lives of each agent; what comes from one of them changes nothing.

--- a/oakkeel/places/granting.py
+++ b/oakkeel/places/granting.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from oakkeel.places import commands
@@ -21,6 +22,7 @@
 SECOND = 1000 * MS
 TOLD, UNHEARD, ASKED = "does not serve", "not known", "to be granted"
 MOST_GRANTS = 64  # in one turn
+PAST = 8  # lives of an agent that are known to be over
 SCAN = 50 * MS  # between looks at what time alone brings about
 
 
@@ -50,6 +52,7 @@
     at: int
     told: dict[str, bool]  # by thing: whether it serves
     owes: dict[str, str]  # by thing that leaves
+    past: deque[int]  # lives of its agent before: what they said may still be on its way
 
 
 class Granting:
@@ -105,11 +108,14 @@
     def heard(self, now: int, poll: Poll) -> list[commands.Command]:
         """An agent's report; one that was overtaken by a later one changes nothing."""
         known = self.hosts.get(poll.host)
-        if known and (known.life, known.count) > (poll.life, poll.count) and known.life == poll.life:
+        if known and (poll.life in known.past or poll.life == known.life and poll.count < known.count):
             return []
+        past = known.past if known else deque(maxlen=PAST)
+        if known and known.life != poll.life:
+            past.append(known.life)
         told = {each.name: each.up for each in poll.things}
         self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, told, {
-            each.name: each.owes for each in poll.things if each.owes})
+            each.name: each.owes for each in poll.things if each.owes}, past)
         if known is None or known.told != told or now - known.at > self.terms.silent:
             self._believe(poll.host, host)
         wanted: list[commands.Command] = []
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -570,6 +570,15 @@
         self.turn("h2")
         self.assertEqual(self.states("o1"), {"a": "granted"})
 
+    def test_what_an_agent_said_before_it_was_started_anew_is_not_believed_any_more(self):
+        self.turn()
+        late = self.holding["h1"].poll(self.now, self.up, [], {})
+        self.holding["h1"] = Holding("h1", LAYOUT.hosts["h1"], 2)
+        self.up["a"] = False
+        self.turn("h1")
+        self.granting.heard(self.now, late)
+        self.assertIn("does not serve", self.granting.out.reasons["a"])
+
     def test_after_a_halt_a_granted_place_is_given_back_and_what_began_goes_on(self):
         self.turn()
         self.order("o1", "a", "c", "d")
