Let a keeper that joins keep nothing before it knows what it may have forgotten

Seen: of 14,000 drawn schedules one ended with no leader: two of three keepers, killed and started again with whole files, had set them aside as old copies. Excluded: lost writes (their files ended with all that they had acknowledged before). At fault: Keeper.heard took the leader's entries while joining; the leader then told of them as kept, and Keeper._known compared that with the file of the start.

Change: one that joins takes no entries until it is admitted, and never votes in the term that it is in by then.

--- a/oakkeel/record/keeper.py
+++ b/oakkeel/record/keeper.py
@@ -224,7 +224,9 @@
             self._known(now, letter, word)
         elif isinstance(word, Found):
             self._found(now, word)
-        elif letter.epoch == self.durable.epoch and letter.epoch and self.role is not Role.OUTDATED:
+        elif letter.epoch == self.durable.epoch and letter.epoch and self.role not in (Role.OUTDATED,
+                                                                                       Role.JOINING):
+            # One that joins keeps nothing yet: what it kept since its start would look like what it forgot.
             self.HANDLERS[type(word)](self, now, letter, word)
         return self._done(now)
 
@@ -296,8 +298,7 @@
                         f" its file ends with {self.began[1]} of {self.began[0]}")
             self._move(now, Role.OUTDATED)
             return
-        if word.term >= self.durable.term:
-            self._set_term(word.term, SPENT)  # it may have voted in it
+        self._set_term(max(word.term, self.durable.term), SPENT)  # it may have voted in it
         self.answered.add(letter.life)
         if self._majority(self.answered | {self.life}):
             self._move(now, Role.FOLLOWING)
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -192,6 +192,21 @@
         net.run(5 * SECOND, lambda: net.keepers[victim].life in net.leader().voters)
         self.assertEqual(net.lines()[victim], [b"one", b"two", b"three", b"four"])
 
+    def test_one_that_hears_the_leader_before_it_may_know_what_it_forgot_is_not_taken_for_an_old_copy(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        leader = net.leader()
+        name = next(each for each in net.keepers if each != leader.name)
+        net.start(name)
+        keeper = net.keepers[name]
+        net.cut = {(name, other) for other in net.keepers}  # its hello is lost, the leader's words are not
+        net.agree(b"two", b"three")
+        net.run(300 * MS)
+        net.cut.clear()
+        net.run(2 * SECOND, lambda: keeper.role is not Role.JOINING)
+        self.assertEqual(keeper.role, Role.FOLLOWING)
+        self.assertEqual(net.lines()[name], [b"one", b"two", b"three"])
+
     def test_one_that_starts_votes_for_nobody_in_a_term_that_another_knows(self):
         net = Net("a", "b", "c")
         net.agree(b"one")
