Drop the fate of a lost proposal, which no leader can meet

Need: read again, Keeper._apply compared terms that can't differ: a leader drops nothing of its own, and its proposals are forgotten when it follows. Fate.LOST, Proposal.term and a count of passed messages in the stand-in's link were never looked at.

Change: they are gone.

--- a/oakkeel/record/keeper.py
+++ b/oakkeel/record/keeper.py
@@ -105,14 +105,12 @@
 class Fate(Enum):
     WAITING = "waiting"
     AGREED = "agreed"
-    LOST = "lost"  # it is not in the record and will never be
     UNKNOWN = "unknown"  # its leader is leader no more: it may be agreed yet
 
 
 @dataclass(slots=True, eq=False)
 class Proposal:
     index: int
-    term: int
     fate: Fate = Fate.WAITING
     result: object = None
 
@@ -237,7 +235,7 @@
             raise NotLeading(self.leader if leading is None else "")
         if len(self.proposals) >= MOST_WAITING or len(content) > MOST_COMMAND:
             raise NotLeading(self.name, "too much waits to be agreed, or the command is too long")
-        proposal = Proposal(self._append(now, Kind.COMMAND, content), self.durable.term)
+        proposal = Proposal(self._append(now, Kind.COMMAND, content))
         self.proposals[proposal.index] = proposal
         return proposal, self._done(now)
 
@@ -512,8 +510,7 @@
             entry = self.log.entry(self.applied)
             result = self.machine.apply(self.applied, entry.content) if entry.kind == Kind.COMMAND else None
             if proposal := self.proposals.pop(self.applied, None):
-                same = proposal.term == entry.term
-                proposal.fate, proposal.result = (Fate.AGREED, result) if same else (Fate.LOST, None)
+                proposal.fate, proposal.result = Fate.AGREED, result  # a leader drops nothing of its own
                 self.steps.ended.append(proposal)
         if self.applied - self.log.snapshot.index >= self.pace.fold:
             self.keep.snapshot = self.log.fold(self.applied, self.machine.fold())
--- a/oakkeel/standins/links.py
+++ b/oakkeel/standins/links.py
@@ -37,7 +37,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
-        self.lost = self.passed = 0
+        self.lost = 0
 
     async def open(self) -> int:
         self.server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
@@ -88,7 +88,6 @@
                 copies = 1 + (self.random.random() < way.double)
                 for _ in range(copies):
                     wait = way.delay + way.mixed * self.random.random()
-                    self.passed += 1
                     if wait:
                         task = asyncio.ensure_future(self._later(wait, writer, message, way))
                         self.tasks.add(task)
