--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: build all test lint run demo clean measure-fleet measure-orders measure-decisions measure-listing \
 	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules \
-	measure-places
+	measure-places measure-rollout measure-gates measure-plan
 
 # What a node needs, and no more: the platform calls this.
 build: .venv/built
@@ -41,7 +41,7 @@
 
 # Measurements: each prints one last line with its result. JSON=FILE keeps the figures.
 measure-fleet measure-orders measure-decisions measure-listing measure-fair measure-emulator measure-agreement \
-measure-drain measure-schedules measure-places: all
+measure-drain measure-schedules measure-places measure-rollout measure-gates measure-plan: all
 	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON)) $(MORE)
 
 # BEFORE=FOLDER, a checkout of the version to compare with.
--- a/oakkeel/agent/acting.py
+++ b/oakkeel/agent/acting.py
@@ -13,6 +13,7 @@
 from oakkeel.agent.instances import Instance
 from oakkeel.agent.processes import Process, Processes
 from oakkeel.agent.supervision import MS, SECOND, Act, Step, Supervision
+from oakkeel.agent.versions import Versions
 from oakkeel.control.client import ControlClient, ControlError
 from oakkeel.log import Log, fault
 from oakkeel.places.holding import Holding
@@ -30,6 +31,7 @@
                  holding: Holding | None = None) -> None:
         """`moved` is called when a process has ended."""
         self.holding = holding
+        self.versions: Versions | None = None  # where releases are made
         self.supervision, self.log, self.fairness, self.moved = supervision, log, fairness, moved
         self.processes, self.program = processes(host.state, self._ended), list(program)
         self.told: dict[str, InstanceSettings] = {each.name: each for each in host.instances}
@@ -77,11 +79,16 @@
         now = time.monotonic_ns()
         try:
             self._write_told(told.name)
-            process = self.processes.spawn(told.name, instance.born, self.program, variables)
+            program = self.program
+            if self.versions:
+                program, more = self.versions.of(told.name, program)
+                variables |= more
+            process = self.processes.spawn(told.name, instance.born, program, variables)
         except OSError as error:
             self.log.say("it could not be started", error=str(error), **facts)
             return self.supervision.not_spawned(now, instance, str(error))
-        self.log.say("started", pid=process.pid, **facts)
+        self.log.say("started", pid=process.pid, version=variables.get("OAKKEEL_VERSION"), **facts)
+        instance.ran = variables.get("OAKKEEL_VERSION", "")
         self.supervision.spawned(now, instance)
         self._watch(instance, process)
 
--- a/oakkeel/agent/agent.py
+++ b/oakkeel/agent/agent.py
@@ -21,8 +21,10 @@
     PLACES,
     SCHEMA,
     VERSION,
+    fitting_statements,
     place_statements,
     statements,
+    take_up_fitting,
     take_up_instances,
     take_up_orders,
     take_up_places,
@@ -31,6 +33,7 @@
 from oakkeel.agent.polling import Polling, probe
 from oakkeel.agent.processes import Processes, boot
 from oakkeel.agent.supervision import MS, SECOND, Patience, Supervision
+from oakkeel.agent.versions import Versions
 from oakkeel.log import Log, fault
 from oakkeel.places.holding import Holding
 from oakkeel.places.words import Agreed
@@ -40,6 +43,7 @@
 
 TURN = 100 * MS  # between looks at everything
 LOG_LINES = 50  # a second
+DROP = 60 * SECOND  # between looks for versions that nothing needs
 
 
 class Agent:
@@ -74,8 +78,16 @@
         if not same_boot:
             self.orders.expire_all(self.started, "the host was started anew")
         self.store_fault = ""
+        self.dropped_at = self.started
         self.acting = Acting(host, self.supervision, log, processes, program, fairness, self.turn,
                              self.holding)
+        self.deciding: Deciding | None = None
+        self.versions: Versions | None = None
+        if self.holding:
+            self.deciding = Deciding(self.supervision, self.orders, self.holding,
+                                     services=tuple(each.name for each in self.services))
+            take_up_fitting(self.store, self.deciding.fitting)
+            self.versions = self.acting.versions = Versions(host, self.deciding.fitting, log, self._ready)
         self.done = asyncio.Event()
         self.keeping: Keeping | None = None
         self.polling: Polling | None = None
@@ -141,6 +153,8 @@
             self.polling.close()
         if self.keeping:
             self.keeping.close()
+        if self.versions:
+            self.versions.close()
         self.keep()
         self.acting.close()
         self.store.close()
@@ -148,9 +162,8 @@
     # The record.
 
     def _open_record(self) -> None:
-        assert self.fleet and self.fleet.keepers and self.holding
-        deciding = Deciding(self.supervision, self.orders, self.holding,
-                            services=tuple(each.name for each in self.services))
+        deciding = self.deciding
+        assert self.fleet and self.fleet.keepers and deciding
         if self.store.new:
             deciding.lost_file()
         self.polling = Polling(self.fleet, self.host.name, self.agent_keys, deciding, self.log, self._heard)
@@ -174,6 +187,17 @@
         if self.keeping is None and self.host.name in agreed.keepers:
             self._keep_record()
         self.turn()
+        if self.versions:
+            self.versions.prepare()
+            if time.monotonic_ns() - self.dropped_at > DROP:
+                self.dropped_at = time.monotonic_ns()
+                self.versions.drop()
+
+    def _ready(self) -> None:
+        """Copies for a release are made, or can't be: told with the next poll."""
+        self.turn()
+        if self.polling:
+            self.polling.soon.set()
 
     def said(self) -> Sequence[str]:
         """What its operator should know of."""
@@ -215,13 +239,16 @@
     def keep(self) -> bool:
         """Write what changed. Watching goes on where that fails; orders wait."""
         changed = [each for each in self.supervision.instances if each.dirty]
-        places = bool(self.holding and self.holding.changed)
+        fitting = self.deciding.fitting if self.deciding else None
+        places = bool(self.holding and self.holding.changed) or bool(fitting and fitting.changed)
         if not changed and not self.orders.changed and not self.orders.dropped and not places \
                 and not self.store_fault:
             return True
         rows = statements(changed, self.orders.changed, self.orders.dropped)
         if self.holding:
             rows += place_statements(self.holding)
+        if fitting:
+            rows += fitting_statements(fitting)
         try:
             self.store.write(rows)
         except StoreError as error:
@@ -235,6 +262,8 @@
         self.orders.dropped.clear()
         if self.holding:
             self.holding.changed.clear()
+        if fitting:
+            fitting.changed = False
         if self.store_fault:
             self.log.say("the state is kept again")
             self.store_fault = ""
--- a/oakkeel/agent/answering.py
+++ b/oakkeel/agent/answering.py
@@ -13,17 +13,20 @@
 from oakkeel.agent.orders import Order, OrderRefused, Orders, Verb
 from oakkeel.agent.polling import Polling
 from oakkeel.agent.supervision import SECOND, Supervision
-from oakkeel.agent.told import fleet_told, host_told, order_told, record_told, state_told
+from oakkeel.agent.told import fleet_told, host_told, order_told, record_told, release_told, state_told
 from oakkeel.control.client import ControlClient, ControlError
 from oakkeel.log import Log
 from oakkeel.places import commands
 from oakkeel.places.ledger import Order as Agreed
 from oakkeel.places.ledger import Refusal
 from oakkeel.record.keeper import NotLeading
+from oakkeel.rollout import commands as releases
+from oakkeel.rollout.book import Release
 from oakkeel.sealing.marks import Key
 from oakkeel.settings.fleet import HostSettings
 
-OF_THE_FLEET = (messages.FleetOrder, messages.FleetEnd, messages.SetKeepers, messages.AskFleet)
+OF_THE_FLEET = (messages.FleetOrder, messages.FleetEnd, messages.SetKeepers, messages.AskFleet,
+                messages.StartRelease, messages.TurnRelease, messages.AskRelease)
 
 
 class Answerer(Protocol):
@@ -125,6 +128,8 @@
         try:
             if isinstance(wish, messages.AskFleet):
                 return state_told(time.monotonic_ns(), keeping, wish.ident)
+            if isinstance(wish, messages.AskRelease):
+                return release_told(time.monotonic_ns(), keeping, wish.ident)
             if isinstance(wish, messages.SetKeepers):
                 return await self._set_keepers(key, keeping, wish)
             result = await keeping.propose(command_of(key, wish, time.time_ns()))
@@ -134,6 +139,10 @@
             return messages.Elsewhere("", f"not decided: {error}; send it again with the same id")
         if isinstance(result, Refusal):
             return messages.Fault(result.why)
+        if isinstance(result, Release):
+            self.agent.log.say("agreed", release=result.ident, operator=key.operator,
+                               what=getattr(wish, "to", "start"))
+            return release_told(time.monotonic_ns(), keeping, result.ident)
         assert isinstance(result, Agreed)
         self.agent.log.say("agreed", order=result.ident, operator=key.operator, what=type(wish).__name__)
         return fleet_told(keeping, result)
@@ -150,10 +159,14 @@
         return record_told(time.monotonic_ns(), self.agent.host.name, keeping, self.agent.polling)
 
 
-def command_of(key: Key, wish: messages.Wish, unix: int) -> commands.Command:
+def command_of(key: Key, wish: messages.Wish, unix: int) -> commands.Command | releases.Command:
     if isinstance(wish, messages.FleetOrder):
         return commands.Order(wish.ident, key.operator, wish.verb, unix, wish.lasts, wish.whole,
                               list(wish.things))
+    if isinstance(wish, messages.StartRelease):
+        return releases.Begin(wish.ident, key.operator, unix, wish.what, wish.pace, wish.things)
+    if isinstance(wish, messages.TurnRelease):
+        return releases.Turn(wish.ident, key.operator, wish.to)
     assert isinstance(wish, messages.FleetEnd)
     return (commands.Cancel if wish.back else commands.Halt)(wish.ident, key.operator)
 
--- a/oakkeel/agent/below.py
+++ b/oakkeel/agent/below.py
@@ -30,7 +30,7 @@
             if held is None:
                 continue
             order = self.holding.orders.get(held.ident)
-            if not held.begun and self.holding.may_begin(now, name, held.ident):
+            if not held.begun and self.holding.may_begin(now, name, held.ident, up):
                 self.holding.begin(now, name)
             if held.begun and not up:
                 self.was_down[name] = held.fence
--- a/oakkeel/agent/deciding.py
+++ b/oakkeel/agent/deciding.py
@@ -9,8 +9,13 @@
 from oakkeel.agent.instances import Goal, Instance, Phase
 from oakkeel.agent.orders import Order, OrderRefused, Orders, PartState, Verb
 from oakkeel.agent.supervision import Supervision
+from oakkeel.control.messages import Report
 from oakkeel.places.holding import Holding
 from oakkeel.places.words import Agreed, OrderTold, PartTold, Poll
+from oakkeel.rollout.fitting import Fitting
+from oakkeel.rollout.gates import Figures
+from oakkeel.rollout.sequential import Sums
+from oakkeel.rollout.words import Run
 
 HOW = {PartState.DONE: "done", PartState.FAILED: "failed", PartState.REFUSED: "refused",
        PartState.CANCELLED: "cancelled", PartState.SUPERSEDED: "failed", PartState.EXPIRED: "expired"}
@@ -22,6 +27,7 @@
                  services: tuple[str, ...] = ()) -> None:
         self.supervision, self.orders, self.holding, self.block = supervision, orders, holding, block
         self.below = Below(holding, services)
+        self.fitting = Fitting(services)
         self.lost = False  # our own file was: nothing begins before the record was heard
         for instance in supervision.instances:
             instance.limit = holding.generations.get(instance.name, 0)
@@ -43,7 +49,26 @@
                     self.holding.generations.get(instance.name, 0):
                 reserve[instance.name] = instance.generation + self.block
         owes = {each.name: told for each in self.supervision.instances if (told := _owes(each))}
-        return self.holding.poll(now, up, self._ended(), reserve, owes)
+        poll = self.holding.poll(now, up, self._ended(), reserve, owes)
+        if self.fitting.active:
+            poll.above = self.fitting.told(self._runs(now))
+        return poll
+
+    def _runs(self, now: int) -> list[Run]:
+        """For whoever drives a release: what runs here, and how it does."""
+        runs = [Run(name, "", 0, "serving" if up else "stopped", 0) for name, up in self.below.up.items()]
+        for each in self.supervision.instances:
+            report = each.report
+            run = Run(each.name, each.ran, each.generation, each.phase.value,
+                      now - each.heard if report is not None else -1, each.resting, each.died)
+            if isinstance(report, Report):
+                run.load = report.load
+                if self.fitting.watch and len(report.benefit) == 3:
+                    run.figures = Figures(Sums(*report.benefit), report.denied, report.terminated,
+                                          report.resident_kb, {group: Sums(*sums) for group, sums
+                                                               in report.times.items() if len(sums) == 3})
+            runs.append(run)
+        return runs
 
     def _look(self, instance: Instance) -> None:
         """Whether what was taken out under a place is over."""
@@ -87,6 +112,7 @@
         first, reserved = not self.holding.told, dict(self.holding.generations)
         if not self.holding.answered(now, sent_at, answer):
             return []
+        self.fitting.heard(answer.above)
         if self.lost:
             self._learn(now)
         elif first:
--- a/oakkeel/agent/door.py
+++ b/oakkeel/agent/door.py
@@ -19,7 +19,8 @@
 from oakkeel.sealing.marks import NONCE, SECOND, Key, Receiver, Refused, Role
 
 Handler = Callable[[Key, messages.Wish], messages.Answer | Awaitable[messages.Answer]]
-ACTS = (messages.Order, messages.Cancel, messages.FleetOrder, messages.FleetEnd, messages.SetKeepers)
+ACTS = (messages.Order, messages.Cancel, messages.FleetOrder, messages.FleetEnd, messages.SetKeepers,
+        messages.StartRelease, messages.TurnRelease)
 
 
 @dataclass(slots=True, frozen=True)
--- a/oakkeel/agent/instances.py
+++ b/oakkeel/agent/instances.py
@@ -69,6 +69,8 @@
     deaths: deque[int] = field(default_factory=deque)  # when it died by itself, as far as the window goes
     resting: bool = False  # its budget of starts is spent
     why: str = ""  # the last thing that went wrong
+    died: int = 0  # by itself, since the agent started
+    ran: str = ""  # the version that its last report told
     soft: bool = False  # told to leave in a way that can be taken back
     recalled: bool = False  # it is to come back from its drain
     limit: int = 1 << 62  # generations that may be used, where the record gives them out
--- a/oakkeel/agent/keeping.py
+++ b/oakkeel/agent/keeping.py
@@ -16,6 +16,7 @@
 from oakkeel.agent.laying import layout_of
 from oakkeel.log import Log, fault
 from oakkeel.places import commands
+from oakkeel.places.granting import Granting
 from oakkeel.places.ledger import Refusal
 from oakkeel.places.steward import Steward
 from oakkeel.places.words import Poll
@@ -23,6 +24,9 @@
 from oakkeel.record.keeper import Fate, NotLeading, Proposal, Role, Steps
 from oakkeel.record.pace import Pace
 from oakkeel.record.words import Letter
+from oakkeel.rollout import commands as releases
+from oakkeel.rollout.book import Book
+from oakkeel.rollout.driver import Driver
 from oakkeel.sealing.link import Link, LinkError
 from oakkeel.sealing.marks import Key
 from oakkeel.settings.fleet import Fleet
@@ -55,6 +59,11 @@
         self.store = Store(self.path, kept.SCHEMA, kept.VERSION, kept.MOST_BYTES)
         if self.store.set_aside:
             log.say("the record was set aside", file=self.store.set_aside)
+        self.witness = kept.Witness(self.path + ".count", self.store)
+        if self.store.new:
+            self._count_anew()
+        elif why := self.witness.why():
+            self._set_aside(f"an older copy: {why}")
         self.layout = layout_of(fleet)
         self.peers: dict[str, Peer] = {}
         self.futures: dict[Proposal, asyncio.Future] = {}
@@ -79,9 +88,13 @@
             return self._failed(error)
         self.fault, founders = "", self.fleet.keepers.hosts if self.fleet.keepers else ()
         self.steward = Steward(time.monotonic_ns(), held, secrets.randbits(60), self.pace, founders,
-                               self.layout)
+                               self.layout, ledger=Book, above=self._driver)
         self.steward.watched = self._agreed
 
+    def _driver(self, now: int, book: Book, granting: Granting) -> Driver:
+        """What a leader does for releases, with a name that no other has."""
+        return Driver(now, book, granting, f"{self.name}.{secrets.token_hex(6)}")
+
     def _agreed(self, index: int, command: commands.Command, result: object) -> None:
         """Told for whoever looks for a cause: grants by each keeper, as their leader may be gone, the rest by
         the leader."""
@@ -92,6 +105,8 @@
                 self.log.say("a place is granted", of=thing, fence=index, order=command.ident)
         if self.steward is None or self.steward.granting is None:
             return
+        if isinstance(command, releases.Command):
+            return self._of_release(command)
         if isinstance(command, commands.Lay):
             self.log.say("what may be out is as this host's settings say", fence=index)
         elif isinstance(command, commands.Lapse | commands.Over):
@@ -99,15 +114,36 @@
             self.log.say("a place is free" if over else "a place has lapsed", of=command.thing,
                          fence=command.fence)
 
+    def _of_release(self, command: releases.Command) -> None:
+        book = self.steward.ledger if self.steward else None
+        release = book.held.releases.get(command.ident) if isinstance(book, Book) else None
+        if release is None or isinstance(command, releases.Judge) and not command.why:
+            return
+        facts: dict[str, object] = {"release": release.ident, "state": release.state, "batch": release.batch}
+        if isinstance(command, releases.Batch):
+            facts["of"] = ",".join(thing for thing, _ in command.things)
+            facts["fence"] = command.fence
+        elif isinstance(command, releases.Settle):
+            facts["new"] = ",".join(command.new)
+        self.log.say(f"release: {type(command).__name__.lower()}", step=release.step, why=release.why or None,
+                     **facts)
+
     def _set_aside(self, why: str) -> None:
         """Put the file away under a name that says when, and begin a new life."""
         self.store.close()
+        self.witness.begin_anew()
         aside = f"{self.path}.{time.strftime('%Y%m%dT%H%M%S', time.gmtime())}-{os.getpid()}"
         for ending in ("", "-wal", "-shm"):
             with contextlib.suppress(FileNotFoundError):
                 os.rename(self.path + ending, aside + ending)
         self.log.say("the record's file is not gone by", file=aside, error=why)
         self.store = Store(self.path, kept.SCHEMA, kept.VERSION, kept.MOST_BYTES)
+        self.witness = kept.Witness(self.path + ".count", self.store)
+
+    def _count_anew(self) -> None:
+        """The file is a new one, whatever was counted of the one before."""
+        self.witness.begin_anew()
+        self.witness = kept.Witness(self.path + ".count", self.store)
 
     def _failed(self, error: StoreError) -> None:
         """As if it had crashed: made again from what is there, once that can be written."""
@@ -140,7 +176,7 @@
         self._schedule()
         return messages.AgreedTold(agreed)
 
-    async def propose(self, command: commands.Command) -> object:
+    async def propose(self, command: commands.Command | releases.Command) -> object:
         """What came of it once it is agreed. Raises NotLeading, or Undecided."""
         if self.steward is None:
             raise NotLeading("", self.fault)
@@ -185,7 +221,7 @@
                 return
             if steps.keep:
                 try:
-                    kept.write(self.store, self.steward.keeper.durable, steps.keep)
+                    kept.write(self.store, self.steward.keeper.durable, steps.keep, self.witness)
                 except StoreError as error:
                     return self._failed(error)
             for name, letter in steps.send:
@@ -216,7 +252,7 @@
     def _peer(self, name: str) -> Peer:
         if name not in self.peers:
             link = Link(self.fleet.host(name).agent, self.keys[self.name])
-            self.peers[name] = Peer(name, link, self._came)
+            self.peers[name] = Peer(name, link, self._came, self.log)
         return self.peers[name]
 
     def _came(self, name: str, letters: list[Letter]) -> None:
@@ -231,14 +267,15 @@
             self.timer.cancel()
         for peer in self.peers.values():
             peer.close()
+        self.witness.close()
         self.store.close()
 
 
 class Peer:
     """Another keeper: what waits for it, and the link on which it goes."""
 
-    def __init__(self, name: str, link: Link, came: Callable[[str, list[Letter]], None]) -> None:
-        self.name, self.link, self.came = name, link, came
+    def __init__(self, name: str, link: Link, came: Callable[[str, list[Letter]], None], log: Log) -> None:
+        self.name, self.link, self.came, self.log = name, link, came, log
         self.waiting: deque[Letter] = deque(maxlen=MOST_LETTERS)  # the oldest is lost first
         self.some = asyncio.Event()
         self.task = asyncio.ensure_future(self._send())
@@ -272,6 +309,9 @@
                 await self._ask(letters)
             except (LinkError, msgspec.MsgspecError):
                 await asyncio.sleep(AGAIN / SECOND)  # what was sent is lost: keepers say it again
+            except Exception as error:  # else a fault in what one answer brings would end this link for good
+                self.log.say("an answer of a keeper failed", of=self.name, error=fault(error))
+                await asyncio.sleep(AGAIN / SECOND)
 
     async def _ask(self, letters: list[Letter]) -> None:
         answer = messages.read_answer(await self.link.ask(messages.encode(messages.Carry(letters)),
--- a/oakkeel/agent/kept.py
+++ b/oakkeel/agent/kept.py
@@ -6,9 +6,13 @@
 from collections import deque
 from collections.abc import Iterable
 
+import msgspec
+
 from oakkeel.agent.instances import Goal, Instance, Phase
 from oakkeel.agent.orders import Order, Orders, Part, PartState, Verb
 from oakkeel.places.holding import Holding
+from oakkeel.rollout.commands import What
+from oakkeel.rollout.fitting import Fitting
 from oakkeel.store.durable import Statement, Store
 
 VERSION = 1
@@ -26,6 +30,7 @@
 PLACES: list[Statement] = [("CREATE TABLE IF NOT EXISTS places (thing TEXT PRIMARY KEY, fence INTEGER,"
                             " ident TEXT, begun INTEGER)", ()),
                            ("CREATE TABLE IF NOT EXISTS reserved (thing TEXT PRIMARY KEY, upto INTEGER)", ()),
+                           ("CREATE TABLE IF NOT EXISTS fitting (one INTEGER PRIMARY KEY, content BLOB)", ()),
                            ("CREATE TABLE IF NOT EXISTS heard (one INTEGER PRIMARY KEY, epoch TEXT)", ())]
 PUT_PLACE = "INSERT OR REPLACE INTO places VALUES (?,?,?,?)"
 PUT_INSTANCE = "INSERT OR REPLACE INTO instances VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)"
@@ -106,3 +111,17 @@
                     [(thing, fence, ident, bool(begun)) for thing, fence, ident, begun
                      in store.read("SELECT thing, fence, ident, begun FROM places")],
                     dict(store.read("SELECT thing, upto FROM reserved")))
+
+
+def fitting_statements(fitting: Fitting) -> list[Statement]:
+    """What things shall run, where the versions come from, and what they ran before."""
+    if not fitting.changed:
+        return []
+    return [("INSERT OR REPLACE INTO fitting VALUES (1, ?)", (msgspec.msgpack.encode(
+        (fitting.versions, fitting.sources, fitting.bases)),))]
+
+
+def take_up_fitting(store: Store, fitting: Fitting) -> None:
+    for (content,) in store.read("SELECT content FROM fitting"):
+        fitting.restore(*msgspec.msgpack.decode(content, type=tuple[dict[str, str], dict[str, What],
+                                                                    dict[str, str]]))
--- a/oakkeel/agent/messages.py
+++ b/oakkeel/agent/messages.py
@@ -7,6 +7,7 @@
 from oakkeel.control.messages import ClientsTold, Report
 from oakkeel.places.words import Agreed, Poll
 from oakkeel.record.words import Letter
+from oakkeel.rollout.commands import Pace, What
 
 
 class Look(msgspec.Struct, tag="look", forbid_unknown_fields=True):
@@ -77,6 +78,28 @@
     hosts: list[str]
 
 
+class StartRelease(msgspec.Struct, tag="start release", forbid_unknown_fields=True):
+    """Bring that to those things, step by step. `ReleaseTold` comes back, or `Elsewhere`."""
+
+    ident: str
+    what: What
+    pace: Pace
+    things: list[str]
+
+
+class TurnRelease(msgspec.Struct, tag="turn release", forbid_unknown_fields=True):
+    """pause, resume, abort, undo, leave. `ReleaseTold` comes back, or `Elsewhere`."""
+
+    ident: str
+    to: str
+
+
+class AskRelease(msgspec.Struct, tag="ask release", forbid_unknown_fields=True):
+    """How far is it? Without an id the open one, or the last. `ReleaseTold` comes back, or `Elsewhere`."""
+
+    ident: str = ""
+
+
 class AskRecord(msgspec.Struct, tag="record", forbid_unknown_fields=True):
     """How is the record, as this agent knows it? `RecordTold` comes back."""
 
@@ -238,6 +261,34 @@
     why: str
 
 
+class ReleasePart(msgspec.Struct):
+    thing: str
+    host: str
+    state: str  # old, changing, new
+    runs: str  # the version that its process told
+    phase: str
+    age: int  # of that, -1: nothing is known
+    why: str = ""
+
+
+class ReleaseTold(msgspec.Struct, tag="release"):
+    """A release as it is agreed, and what whoever drives it waits for."""
+
+    ident: str
+    operator: str
+    unix: int
+    state: str
+    what: What
+    step: int
+    batch: int
+    why: str
+    said: str  # the gates' figures
+    waits: str  # what for, as the driver knows it
+    driver: str
+    parts: list[ReleasePart]
+    others: list[tuple[str, str]]  # releases that are over: id and state
+
+
 class Fault(msgspec.Struct, tag="fault"):
     """Nothing came of it."""
 
@@ -246,9 +297,9 @@
 
 Between = Carry | Polled  # agents
 Wish = (Look | Order | Cancel | ListOrders | Clients | FleetOrder | FleetEnd | SetKeepers | AskRecord
-        | AskFleet | Between)
+        | AskFleet | StartRelease | TurnRelease | AskRelease | Between)
 Answer = (HostTold | OrderTold | OrdersTold | ClientsOf | Carried | AgreedTold | Elsewhere | FleetTold
-          | FleetStateTold | RecordTold | Fault)
+          | FleetStateTold | RecordTold | ReleaseTold | Fault)
 _wishes = msgspec.msgpack.Decoder(Wish)
 _answers = msgspec.msgpack.Decoder(Answer)
 _encoder = msgspec.msgpack.Encoder()
--- a/oakkeel/agent/orders.py
+++ b/oakkeel/agent/orders.py
@@ -212,7 +212,7 @@
         """Whether it may be taken out: by the host's own part of its site, or by a place of the record."""
         if self.holding is None:
             return self.supervision.room(part.instance)
-        return self.holding.may_begin(now, part.instance.name, part.order.ident)
+        return self.holding.may_begin(now, part.instance.name, part.order.ident, part.instance.alive)
 
     def call_back(self, now: int, order: Order, operator: str) -> None:
         """Cancel it for good: what it has taken out comes back, also what has ended by then."""
--- a/oakkeel/agent/supervision.py
+++ b/oakkeel/agent/supervision.py
@@ -77,6 +77,7 @@
             instance.why = f"generation {generation} answers in place of {instance.born}"
             return
         instance.heard, instance.report = now, report
+        instance.ran = getattr(report, "version", "")
         told = REPORTED[state]
         if instance.phase is not Phase.DRAINING and told is not instance.phase or (
                 instance.recalled and told in (Phase.COLD, Phase.SERVING)):
@@ -129,7 +130,7 @@
             instance.start_at = now
             return self._move(now, instance, Phase.STOPPED)
         patience = self.patience
-        instance.why = why
+        instance.why, instance.died = why, instance.died + 1
         instance.deaths.append(now)
         while instance.deaths and instance.deaths[0] <= now - patience.window:
             instance.deaths.popleft()
--- a/oakkeel/agent/told.py
+++ b/oakkeel/agent/told.py
@@ -13,6 +13,8 @@
 from oakkeel.places.ledger import Order as Agreed
 from oakkeel.record.keeper import NotLeading
 from oakkeel.record.leading import NEVER
+from oakkeel.rollout.book import LEASE, Book
+from oakkeel.rollout.driver import Driver
 from oakkeel.settings.fleet import HostSettings
 
 
@@ -108,3 +110,30 @@
     latest = list(held.orders.values())[-50:]
     return messages.FleetStateTold(steward.ledger.index, groups, things,
                                    [fleet_told(keeping, each) for each in reversed(latest)])
+
+
+def release_told(now: int, keeping: Keeping, ident: str) -> messages.Answer:
+    """Raises NotLeading, as `state_told` does."""
+    steward = keeping.steward
+    if steward is None or steward.granting is None or not steward.keeper.leads(now):
+        raise NotLeading(steward.keeper.leader if steward and not steward.keeper.leading else "")
+    book, driver = steward.ledger, steward.above
+    assert isinstance(book, Book) and isinstance(driver, Driver)
+    releases = book.held.releases
+    release = releases.get(ident) if ident else book.open or next(reversed(releases.values()), None)
+    if release is None:
+        return messages.Fault(f"there is no release {ident}" if ident else "there was no release yet")
+    order = book.held.orders.get(release.order)
+    lease = book.held.leases.get(LEASE)
+    parts = []
+    for thing, part in release.parts.items():
+        seen = driver.seen.get(thing)
+        why = order.parts[thing].why if order and thing in order.parts and thing in release.now else ""
+        parts.append(messages.ReleasePart(
+            thing, steward.granting.host_of.get(thing, ""), part.state, seen.version if seen else "",
+            seen.phase if seen else "unknown", now - seen.at if seen else -1, why))
+    others = [(each.ident, each.state) for each in releases.values() if each.over][-5:]
+    return messages.ReleaseTold(
+        release.ident, release.operator, release.unix, release.state, release.what, release.step,
+        release.batch, release.why, release.said, "" if release.over else driver.why,
+        lease.holder.partition(".")[0] if lease else "", parts, others)
--- /dev/null
+++ b/oakkeel/agent/versions.py
@@ -0,0 +1,136 @@
+"""What instances run: copies of programs and configurations, made before a release, kept until it is over."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import Callable
+
+import oakkeel
+from oakkeel.log import Log, fault
+from oakkeel.rollout.commands import What
+from oakkeel.rollout.fitting import Copy, Fitting
+from oakkeel.settings.fleet import HostSettings, InstanceSettings
+from oakkeel.store.contents import Content, ContentError, Contents, hash_file, hash_folder, merged, read_json
+
+PACKAGE = os.path.dirname(os.path.abspath(oakkeel.__file__))
+
+
+class Versions:
+    def __init__(self, host: HostSettings, fitting: Fitting, log: Log, moved: Callable[[], None]) -> None:
+        """`moved` is called once copies are made, or can't be."""
+        self.fitting, self.log, self.moved = fitting, log, moved
+        self.told = {each.name: each for each in host.instances}
+        self.state = host.state
+        self.contents = Contents(os.path.join(host.state, "versions"))
+        self.tasks: set[asyncio.Task] = set()
+
+    # Making ready.
+
+    def prepare(self) -> None:
+        """Make the copies that are asked for, beside all else."""
+        for copy in self.fitting.to_prepare():
+            task = asyncio.ensure_future(self._prepare(copy))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _prepare(self, copy: Copy) -> None:
+        why, bases = "", {}
+        try:
+            bases = await asyncio.to_thread(self._copy, copy)
+        except OSError as error:
+            why = str(error)
+        except Exception as error:
+            why = "an error of the agent"
+            self.log.say("copying failed", release=copy.release, error=fault(error))
+        self.log.say("ready for a release" if not why else "not ready for a release", release=copy.release,
+                     version=copy.what.version, error=why or None)
+        self.fitting.prepared(copy.release, why[:300], bases)
+        self.moved()
+
+    def _copy(self, copy: Copy) -> dict[str, str]:
+        """Raises OSError. Returns the versions of what the things run by their settings."""
+        os.makedirs(os.path.join(self.contents.folder, "content"), mode=0o700, exist_ok=True)
+        self._keep(copy.what)
+        bases, program = {}, ""
+        for thing in copy.things:
+            told = self.told[thing]
+            self._merged(told, self.contents.find(copy.what.version))  # can it be? Before it has to be
+            if self.fitting.version(thing):
+                continue
+            program = program or self.contents.keep_folder(PACKAGE, "oakkeel")  # that the agent itself is of
+            bases[thing] = self.contents.keep(Content(program, "", self.contents.keep_file(told.config)))
+        return bases
+
+    def _keep(self, what: What) -> None:
+        if self.contents.find(what.version):
+            return
+        program = self.contents.keep_folder(what.program) if what.program else ""
+        if program and not self._runs(program):
+            raise ContentError(f"{what.program}: neither a file `run` that can be executed, nor"
+                               " oakkeel/__main__.py")
+        patch = self.contents.keep_file(what.patch) if what.patch else ""
+        if patch:
+            read_json(self.contents.path(patch))
+        if (found := self.contents.keep(Content(program, patch))) != what.version:
+            raise ContentError(f"what is found here is version {found}, not {what.version}")
+
+    def _runs(self, program: str) -> bool:
+        folder = self.contents.path(program)
+        return os.access(os.path.join(folder, "run"), os.X_OK) or os.path.exists(
+            os.path.join(folder, "oakkeel", "__main__.py"))
+
+    # Running.
+
+    def of(self, name: str, program: list[str]) -> tuple[list[str], dict[str, str]]:
+        """How the next process of an instance is started: words, and variables beside the rest. Raises
+        ContentError where its version is not here."""
+        version, told = self.fitting.version(name), self.told[name]
+        if not version:
+            return program, {}
+        content = self.contents.find(version)
+        if content is None and (what := self.fitting.sources.get(version)):
+            self._keep(what)  # our copy is lost: made again where it came from
+            content = self.contents.find(version)
+        if content is None:
+            raise ContentError(f"version {version} is not here")
+        variables = {"OAKKEEL_VERSION": version}
+        if content.program:
+            folder = self.contents.path(content.program)
+            if os.access(run := os.path.join(folder, "run"), os.X_OK):
+                program = [run]
+            else:
+                variables["PYTHONPATH"] = folder
+        if content.patch or content.config:
+            path = os.path.join(self.state, f"{name}.config.json")
+            with open(path + ".new", "w", encoding="utf-8") as file:
+                json.dump(self._merged(told, content), file)
+            os.replace(path + ".new", path)
+            variables["PROXY_CONFIG"] = path
+        return program, variables
+
+    def _merged(self, told: InstanceSettings, content: Content | None) -> object:
+        config = read_json(self.contents.path(content.config) if content and content.config else told.config)
+        if content is None or not content.patch:
+            return config
+        return merged(config, read_json(self.contents.path(content.patch)))
+
+    def drop(self) -> None:
+        """Forget what no release and no instance needs."""
+        if self.tasks or self.fitting.release:
+            return
+        if dropped := self.contents.drop_but(self.fitting.needed()):
+            self.log.say("versions are dropped", versions=",".join(dropped))
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+def version_of(program: str, patch: str) -> str:
+    """Of what lies at two paths, either of which may be empty. Raises ContentError."""
+    content = Content(hash_folder(program) if program else "", hash_file(patch) if patch else "")
+    if patch:
+        read_json(patch)
+    return content.version
--- a/oakkeel/cli/main.py
+++ b/oakkeel/cli/main.py
@@ -11,6 +11,7 @@
 from oakkeel.cli.looking import ls, orders, show, watch
 from oakkeel.cli.ordering import COMMANDS
 from oakkeel.cli.record import keepers, places
+from oakkeel.cli.rollout import rollout
 from oakkeel.settings.fleet import SettingsError, read_fleet
 from oakkeel.settings.keys import read_agent_keys, read_keys, write_key
 
@@ -138,5 +139,5 @@
     sys.exit(play(lasts or 0, rate))
 
 
-for command in (ls, show, watch, orders, *COMMANDS, keepers, places):
+for command in (ls, show, watch, orders, *COMMANDS, keepers, places, rollout):
     main.add_command(command)  # type: ignore[arg-type]
--- /dev/null
+++ b/oakkeel/cli/rollout.py
@@ -0,0 +1,197 @@
+"""Commands on releases: start one, look at it, halt it, let it go on or back."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import time
+
+import click
+import msgspec
+from rich.live import Live
+
+from oakkeel.agent import messages
+from oakkeel.agent.versions import version_of
+from oakkeel.cli.common import (
+    CODES,
+    DONE,
+    SOME_FAILED,
+    SOME_SILENT,
+    Asker,
+    Duration,
+    choice_options,
+    fail,
+    fleet_options,
+    out,
+    print_json,
+    run,
+)
+from oakkeel.cli.record import LOOK_EVERY, ask, with_record
+from oakkeel.fleet.choosing import Choice
+from oakkeel.rollout.commands import Pace, What
+from oakkeel.store.contents import ContentError
+from oakkeel.tables.release import release_table
+
+ENDS = {"done": DONE, "undone": SOME_FAILED, "halted": SOME_FAILED, "left": SOME_FAILED}
+
+
+@click.group(epilog=CODES)
+def rollout() -> None:
+    """Bring a new program or configuration to many instances, step by step.
+
+    It goes on by itself while what is new does as well as what is old, and halts where it does not.
+
+    \b
+    Example: oakkeel rollout start --program /opt/oakkeel-2 --all
+             oakkeel rollout watch
+             oakkeel rollout undo
+    """
+
+
+@rollout.command(epilog=CODES)
+@choice_options
+@click.option("--all", "everything", is_flag=True, help="All instances.")
+@click.option("--program", type=click.Path(exists=True, file_okay=False), default="",
+              help="Folder with the program, at the same path on every host.")
+@click.option("--config", "patch", type=click.Path(exists=True, dir_okay=False), default="",
+              help="JSON merge patch for the configurations, at the same path on every host.")
+@click.option("--version", "label", default="", help="Of services below: what they are replaced by, by hand.")
+@click.option("--canary", type=click.IntRange(1, 100), default=1, show_default=True, help="Changed first.")
+@click.option("--growth", type=click.FloatRange(1.1, 100), default=2.0, show_default=True,
+              help="From one batch to the next, in all that have the new.")
+@click.option("--most", type=click.IntRange(0, 1000), default=0, help="In one batch; 0: as the bounds allow.")
+@click.option("--soak", type=Duration(), default="60s", show_default=True, metavar="TIME",
+              help="Watched at least so long after each batch.")
+@click.option("--patience", type=Duration(), default="10m", show_default=True, metavar="TIME",
+              help="With no answer from the gates for so long it halts.")
+@click.option("--lasts", type=Duration(), default="2m", show_default=True, metavar="TIME",
+              help="For one batch.")
+@click.option("--margin", type=click.FloatRange(0.001, 0.5), default=0.02, show_default=True,
+              help="Part of the benefit that must not be lost.")
+@click.option("--ceiling", type=click.FloatRange(0.1, 1.0), default=0.85, show_default=True,
+              help="Load of those left at a site.")
+@click.option("--no-gates", is_flag=True, help="By batches alone, whatever becomes of the benefit.")
+@click.option("--no-control", is_flag=True, help="Restart none of the old beside the first.")
+@click.option("--back", is_flag=True, help="Undo by itself what the gates halt.")
+@click.option("--no-wait", is_flag=True, help="Return once it is agreed.")
+@click.option("--id", "ident", metavar="ID", help="Of the release: the same once more begins nothing new.")
+@fleet_options
+def start(names: tuple[str, ...], sites: tuple[str, ...], hosts: tuple[str, ...], states: tuple[str, ...],
+          everything: bool, program: str, patch: str, label: str, canary: int, growth: float, most: int,
+          soak: int, patience: int, lasts: int, margin: float, ceiling: float, no_gates: bool,
+          no_control: bool, back: bool, no_wait: bool, ident: str | None, settings: str,
+          operator: str | None, deadline: int | None, output: str) -> None:
+    """Release to the instances that are named, or to services below.
+
+    \b
+    Example: oakkeel rollout start --program /opt/oakkeel-2 --site 'wood*'
+             oakkeel rollout start --config /etc/oakkeel/patch.json --all --back
+             oakkeel rollout start --version catalogue-9 db1 db2
+    """
+    asker = with_record(settings, operator, deadline)
+    choice = Choice(names, sites, hosts, states)
+    if choice.all != everything:
+        fail("say which instances: names, --site, --host or --state, or else --all")
+    things, what = _what(asker, choice, os.path.abspath(program) if program else "",
+                         os.path.abspath(patch) if patch else "", label)
+    pace = Pace(canary, growth, most, not no_control, not no_gates, back, soak, patience, lasts, margin,
+                ceiling)
+
+    async def work() -> int:
+        answer = await ask(asker, messages.StartRelease(ident or secrets.token_hex(4), what, pace, things))
+        return await _follow(asker, answer, output == "json", no_wait)
+
+    run(work())
+
+
+def _what(asker: Asker, choice: Choice, program: str, patch: str, label: str) -> tuple[list[str], What]:
+    assert asker.fleet.keepers is not None
+    services = {each.name for each in asker.fleet.keepers.services}
+    if named := [name for name in choice.names if name in services]:
+        if len(named) < len(choice.names):
+            fail("name either instances or services below")
+        if not label or program or patch:
+            fail("services below are replaced by hand: say by what with --version")
+        return named, What(label, services=True)
+    if label or not program and not patch:
+        fail("say what is new: --program, --config or both")
+    try:
+        what = What(version_of(program, patch), program, patch)
+    except ContentError as error:
+        fail(str(error))
+    return [row.name for row in asker.chosen(asker.view.rows(time.monotonic_ns()), choice)], what
+
+
+async def _follow(asker: Asker, answer: messages.Answer, as_json: bool, no_wait: bool) -> int:
+    """Show it until it is over or halted."""
+    told = _told(answer)
+    if not no_wait:
+        with Live(release_table(told), console=out, auto_refresh=False, transient=True) as live:
+            while told.state not in ENDS:
+                await asyncio.sleep(LOOK_EVERY)
+                told = _told(await ask(asker, messages.AskRelease(told.ident)))
+                if out.is_terminal and not as_json:
+                    live.update(release_table(told), refresh=True)
+    return tell(told, as_json, DONE)
+
+
+def _told(answer: messages.Answer) -> messages.ReleaseTold:
+    if not isinstance(answer, messages.ReleaseTold):
+        fail("an answer to another question", SOME_SILENT)
+    return answer
+
+
+def tell(told: messages.ReleaseTold, as_json: bool, open_code: int) -> int:
+    if as_json:
+        print_json(msgspec.to_builtins(told))
+    else:
+        out.print(release_table(told))
+    return ENDS.get(told.state, open_code)
+
+
+def look(name: str, text: str, follows: bool) -> click.Command:
+    @rollout.command(name, epilog=CODES, help=text)
+    @click.argument("ident", required=False, default="")
+    @fleet_options
+    def command(ident: str, settings: str, operator: str | None, deadline: int | None, output: str) -> None:
+        asker = with_record(settings, operator, deadline)
+
+        async def work() -> int:
+            answer = await ask(asker, messages.AskRelease(ident))
+            return await _follow(asker, answer, output == "json", not follows)
+
+        run(work())
+
+    return command
+
+
+def turn(name: str, text: str) -> click.Command:
+    @rollout.command(name, epilog=CODES, help=text)
+    @click.argument("ident", required=False, default="")
+    @fleet_options
+    def command(ident: str, settings: str, operator: str | None, deadline: int | None, output: str) -> None:
+        asker = with_record(settings, operator, deadline)
+
+        async def work() -> int:
+            which = ident or _told(await ask(asker, messages.AskRelease())).ident
+            told = _told(await ask(asker, messages.TurnRelease(which, name)))
+            tell(told, output == "json", DONE)
+            return DONE
+
+        run(work())
+
+    return command
+
+
+look("status", "How far it is, and what it waits for. Without an id the open release, or the last.\n\n\b\n"
+     "Example: oakkeel rollout status", False)
+look("watch", "The same until it is over or halted.\n\n\b\nExample: oakkeel rollout watch", True)
+turn("pause", "Nothing further leaves until it is told to go on.\n\n\b\nExample: oakkeel rollout pause")
+turn("resume", "Let it go on where it was paused or halted, in the same direction.\n\n\b\n"
+     "Example: oakkeel rollout resume")
+turn("abort", "Halt it: nothing further leaves, and what was changed stays until it is told to go on, back,"
+     " or that it is left so.\n\n\b\nExample: oakkeel rollout abort")
+turn("undo", "Bring back what was there before, by the same safe steps.\n\n\b\nExample: oakkeel rollout undo")
+turn("leave", "Give a halted release up where it stands: some run the new, some the old.\n\n\b\n"
+     "Example: oakkeel rollout leave")
--- a/oakkeel/control/messages.py
+++ b/oakkeel/control/messages.py
@@ -61,6 +61,10 @@
     denied: int = 0
     terminated: int = 0
     cpu: int = 0  # nanoseconds of a core since its start
+    version: str = ""  # that it runs, as whoever started it said
+    load: float = 0.0  # of its cores, as it last read it
+    benefit: list[float] = []  # count, sum, sum of squares over exchanges since its start
+    times: dict[str, list[float]] = {}  # the same by endpoint group, of logarithms of seconds
 
 
 class Told(msgspec.Struct, tag="told"):
--- a/oakkeel/emulator/agreement.py
+++ b/oakkeel/emulator/agreement.py
@@ -17,10 +17,12 @@
 from oakkeel.agent.orders import Orders, Verb
 from oakkeel.agent.supervision import Act, Patience, Step, Supervision
 from oakkeel.audit.agreement import AgreementAudit
+from oakkeel.audit.rollout import ReleaseAudit
+from oakkeel.control.messages import Report
 from oakkeel.emulator.clock import Clock, Happening
 from oakkeel.emulator.troubles import MS, SECOND, Schedule, Trouble
 from oakkeel.places import commands
-from oakkeel.places.granting import Terms
+from oakkeel.places.granting import Granting, Terms
 from oakkeel.places.holding import Holding
 from oakkeel.places.layout import Group, Layout
 from oakkeel.places.ledger import OPEN, Refusal
@@ -30,9 +32,16 @@
 from oakkeel.record.keeper import Durable, NotLeading, Proposal, Role, Steps
 from oakkeel.record.pace import Pace
 from oakkeel.record.words import Letter
+from oakkeel.rollout import commands as releases
+from oakkeel.rollout.book import Book
+from oakkeel.rollout.commands import Pace as ReleasePace
+from oakkeel.rollout.commands import What
+from oakkeel.rollout.driver import Driver
+from oakkeel.rollout.fitting import Copy
 
 TURN, ASK, POLL = 100 * MS, 100 * MS, 150 * MS
 PACE, TERMS = Pace(fold=64), Terms()
+WAITS = ("would pass its bound", "is the last that serves", "all that is left is out")
 PATIENCE = Patience(backoff=300 * MS, steady=2 * SECOND, drain=3 * SECOND)
 
 
@@ -42,6 +51,7 @@
 
     generation: int
     up_at: int  # when it serves
+    version: str = ""
     leaving: int = 0  # when it ends; 0: it stays
 
 
@@ -53,6 +63,7 @@
     epoch: str = ""
     generations: dict[str, int] = field(default_factory=dict)
     orders: bytes = b""  # with the instances that they are for
+    versions: dict[str, str] = field(default_factory=dict)
 
 
 class Host:
@@ -64,6 +75,7 @@
         self.rate, self.offset = 1 + self.random.uniform(-0.015, 0.015), self.random.randrange(10 * SECOND)
         self.lives = 0
         self.disk: Disk | None = None
+        self.counted = 0  # writes of its record, beside the file
         self.saved = Saved()
         self.processes: dict[str, Process] = {}
         self.running = self.stopped = self.full = False
@@ -91,16 +103,25 @@
 
     def _start_keeper(self) -> None:
         world, now = self.world, self.now()
+        if self.disk is not None and self.disk.writes < self.counted:
+            self.disk = None  # an older copy
         if self.disk is None:
+            self.counted = 0
             self.disk = Disk(Durable(self.name, f"{self.name}.{self.random.getrandbits(40):x}"))
         self.steward = Steward(now, self.disk.load(), self.random.getrandbits(60), PACE, self.founders,
-                               world.layout, TERMS)
+                               world.layout, TERMS, Book, self._driver)
         self.steward.watched = self._applied
         self.pending: dict[Proposal, Callable[[Proposal], None]] = {}
 
+    def _driver(self, now: int, book: Book, granting: Granting) -> Driver:
+        return Driver(now, book, granting, f"{self.name}.{self.random.getrandbits(40):x}")
+
     def _applied(self, index: int, command: commands.Command, result: object) -> None:
         audit = self.world.audit
-        audit.applied(self.world.clock.now, self.name, index, commands.encode(command))
+        content = commands.encode(command)
+        audit.applied(self.world.clock.now, self.name, index, content)
+        if not isinstance(result, Refusal):
+            self.world.of_releases.taken(self.world.clock.now, self.name, content)
         if self.steward and isinstance(command, commands.Halt | commands.Cancel | commands.Over
                                        | commands.Lapse):
             for order in self.steward.ledger.held.orders.values():
@@ -123,6 +144,7 @@
             self.supervision.unix = self.orders.unix = self.now
             self.orders.holding = self.holding
         self.deciding = Deciding(self.supervision, self.orders, self.holding, block=8)
+        self.deciding.fitting.restore(dict(saved.versions), {}, {})
         if fresh:
             self.deciding.lost_file()
         for each in self.supervision.instances:
@@ -176,6 +198,7 @@
                     self.world.clock.after(300 * MS, self._again, self.lives)
                     return
                 self.disk.write(steward.keeper.durable, steps.keep)
+                self.counted = self.disk.writes
                 if self.crash_in == 2:
                     self.crash_in = 0
                     return self.world.kill(self, SECOND)
@@ -219,14 +242,24 @@
             if process:
                 up = self.world.clock.now >= process.up_at
                 state = "draining" if process.leaving else "serving" if up else "cold"
-                self.supervision.heard(now, each, state, process.generation, "report")
+                self.supervision.heard(now, each, state, process.generation, self._report(process, state))
         if now - self.polled_at >= POLL:
             self.polled_at = now
             self.world.poll(self, self.deciding.poll(now), now)
         self.act(now)
         self.world.clock.after(TURN, self._turn, lives)
 
+    def _report(self, process: Process, state: str) -> Report:
+        """As a node of that version makes it: 400 exchanges a second, of which the bad bring less."""
+        lasted = max(0, self.world.clock.now - process.up_at)
+        count = float(lasted * 400 // SECOND)
+        good = float(int(count * (0.6 if process.version.startswith("worse") else 0.98)))
+        return Report(0, "", 0, process.generation, state, "", 0, version=process.version, load=0.2,
+                      benefit=[count, good, good])
+
     def act(self, now: int) -> None:
+        for copy in self.deciding.fitting.to_prepare():
+            self.world.clock.after(self.random.randrange(50 * MS, 300 * MS), self._prepared, copy, self.lives)
         if not self.full:
             self.orders.advance(now)
         steps = self.supervision.tick(now)
@@ -244,11 +277,19 @@
         if steps and not self.full:
             self._save()
 
+    def _prepared(self, copy: Copy, lives: int) -> None:
+        if lives == self.lives:
+            why = "it can't be run here" if copy.what.program == "bad" and self.random.random() < 0.5 else ""
+            bases = {thing: f"base {thing}" for thing in copy.things}
+            self.deciding.fitting.prepared(copy.release, why, bases)
+
     def _save(self) -> None:
         holding, instances = self.holding, self.supervision.instances
         if not (holding.changed or self.orders.changed or self.orders.dropped
-                or any(each.dirty for each in instances)):
+                or self.deciding.fitting.changed or any(each.dirty for each in instances)):
             return
+        self.deciding.fitting.changed = False
+        self.saved.versions = dict(self.deciding.fitting.versions)
         for each in instances:
             each.dirty = False
         self.orders.dropped.clear()
@@ -270,9 +311,15 @@
         if step.act is Act.START and process is None:
             generation = step.instance.born
             world.audit.started(true, name, generation)
-            self.processes[name] = Process(generation, true + self.random.randrange(100 * MS, 600 * MS))
+            version = self.deciding.fitting.version(name)
+            world.of_releases.started(true, name, version)
+            started = Process(generation, true + self.random.randrange(100 * MS, 600 * MS), version)
+            self.processes[name], step.instance.ran = started, version
             self.supervision.spawned(self.now(), step.instance)
-            world.clock.at(self.processes[name].up_at, self._up, name, self.processes[name])
+            if version.startswith("crash"):
+                world.clock.at(true + 50 * MS, self._ended, name, started, "exit code 3", True)
+            else:
+                world.clock.at(started.up_at, self._up, name, started)
         elif process and step.act in (Act.TERM, Act.LEAVE) and not process.leaving:
             held = self.holding.places.get(name)
             if step.instance.goal is Goal.DOWN or step.instance.part is not None:
@@ -350,6 +397,8 @@
         self.said: list[str] = []
         self.orders: list[str] = []
         self.every = every
+        self.of_releases = ReleaseAudit()
+        self.releases: list[str] = []
         if plant:
             plant(self)
         founders = tuple(names[: schedule.keepers])
@@ -418,7 +467,7 @@
 
     # Operators.
 
-    def order(self, command: commands.Command, ident: str, tries: int = 40) -> None:
+    def order(self, command: commands.Command | releases.Command, ident: str, tries: int = 40) -> None:
         """To whoever leads, again and again with the same id until it is answered."""
         host = self.random.choice([each for each in self.hosts.values() if each.running] or [None])
         if tries and host is None or host is not None and (host.stopped or host.steward is None):
@@ -427,9 +476,15 @@
         if host is None or host.steward is None:
             return
 
+        told = False
+
         def ended(proposal: Proposal) -> None:
+            nonlocal told
+            told = True
             if proposal.fate.value == "agreed":
                 result = proposal.result
+                if not isinstance(result, Refusal) and isinstance(command, releases.Begin):
+                    self.releases.append(ident)
                 if not isinstance(result, Refusal) and isinstance(command, commands.Order):
                     self.audit.answered(ident, getattr(result, "index", proposal.index))
             else:
@@ -444,6 +499,12 @@
         host.pending[proposal] = ended
         host.carry_out(steps)
 
+        def again() -> None:  # whom it asked may be gone
+            if not told and tries:
+                self.order(command, ident, tries - 1)
+
+        self.clock.after(2 * SECOND, again)
+
     def _act(self, trouble: Trouble) -> None:
         thing = self.every[trouble.who % len(self.every)]
         host = next(each for each in self.hosts.values() if thing in each.things)
@@ -460,6 +521,17 @@
             ident = self.orders[trouble.who % len(self.orders)]
             kind = commands.Halt if trouble.kind == "halt" else commands.Cancel
             self.order(kind(ident, "ravi"), ident)
+        elif trouble.kind == "release":
+            ident = f"r{trouble.at}"
+            new = ("good", "good", "worse", "crash")[trouble.to % 4]
+            chosen = [each for each in self.every if self.random.random() < 0.3 + trouble.size] or [thing]
+            pace = ReleasePace(soak=200 * MS, patience=10 * SECOND, lasts=4 * SECOND,
+                               control=trouble.who % 2 == 0, back=trouble.to % 3 == 0)
+            what = What(f"{new} {ident}", "bad" if trouble.to % 16 == 0 else "here")
+            self.order(releases.Begin(ident, "asha", 0, what, pace, chosen), ident)
+        elif trouble.kind in ("pause", "resume", "abort", "undo", "leave"):
+            if self.releases:
+                self.order(releases.Turn(self.releases[-1], "ravi", trouble.kind), self.releases[-1])
         elif trouble.kind == "keepers":
             count = min(len(self.hosts), 3 + 2 * (trouble.to % 2))
             names = self.random.sample(sorted(self.hosts), count)
@@ -504,9 +576,10 @@
                 if trouble.size < 0.5:
                     host._ended(thing, process, "power", True)
             self.kill(host, trouble.lasts)
-            host.disk, host.saved = None, Saved()
+            host.disk, host.saved, host.counted = None, Saved(), 0
         elif kind == "old file" and host.disk is not None:
-            self.clock.after(trouble.lasts, self._put_back, host, host.disk.copy(), trouble.lasts)
+            counted = host.counted if trouble.size < 0.3 else -1  # the whole folder, or the file alone
+            self.clock.after(trouble.lasts, self._put_back, host, host.disk.copy(), counted, trouble.lasts)
         elif kind == "stop" and host.running and not host.stopped:
             host.stopped = True
             self.clock.after(trouble.lasts, host.wake)
@@ -526,11 +599,20 @@
         else:
             self._act(trouble)
 
-    def _put_back(self, host: Host, backup: Disk, wait: int) -> None:
-        if host.running and self._may_lose(host):
-            self.say(f"the old file of {host.name} is put back")
-            self.kill(host, wait)
-            host.disk = backup
+    def _put_back(self, host: Host, backup: Disk, counted: int, wait: int) -> None:
+        if not host.running or not self._may_lose(host):
+            return
+        if counted >= 0:
+            # With the whole folder nothing on the host shows it: only others can, and they must be there.
+            others = [each for each in self.hosts.values() if each is not host]
+            if any(not each.running or each.stopped or each.full for each in others) or any(
+                    now_troubled for pair in self.troubled for now_troubled in self._links(*pair)):
+                return
+            wait = MS
+            host.counted = counted
+        self.say(f"the old file of {host.name} is put back{'' if counted < 0 else ' with its whole folder'}")
+        self.kill(host, wait)
+        host.disk = backup
 
     def _may_lose(self, host: Host) -> bool:
         """No promise holds once a majority of the keepers' files is gone: that takes a rite of its own."""
@@ -560,11 +642,33 @@
     # The end.
 
     def run(self) -> list[str]:
+        self.clock.at(SECOND, self._look)
         self.clock.run(self.schedule.lasts)
-        return self.audit.end(self.clock.now)
+        return self.audit.end(self.clock.now) + self.of_releases.breaches
+
+    def _look(self) -> None:
+        """What an operator is told of releases by whoever leads, again and again."""
+        for host in self.hosts.values():
+            if host.running and not host.stopped and host.steward and host.steward.granting \
+                    and host.steward.keeper.leads(host.now()):
+                for each in host.steward.ledger.held.releases.values():  # type: ignore[attr-defined]
+                    if each.over and each.ident in self.of_releases.version:
+                        self.of_releases.ended(self.clock.now, each.ident, each.state, self._serving())
+        self.clock.after(50 * MS, self._look)
+
+    def _serving(self) -> set[str]:
+        return {name for host in self.hosts.values() for name, process in host.processes.items()
+                if not process.leaving and self.clock.now >= process.up_at}
 
     def stuck(self) -> list[str]:
-        """What a good end would have: one leader, no order that is open, nothing away without a place."""
+        """What a good end would have: one leader, no order that is open, nothing away without a place. What
+        was begun late has the time of one more order."""
+        if found := self._stuck():
+            self.clock.run(self.clock.now + 12 * SECOND)
+            found = self._stuck()
+        return found
+
+    def _stuck(self) -> list[str]:
         leaders = [each for each in self.hosts.values() if each.steward and each.steward.granting
                    and each.steward.keeper.leads(each.now())]
         if len(leaders) != 1:
@@ -572,6 +676,13 @@
         ledger = leaders[0].steward.ledger  # type: ignore[union-attr]
         found = [f"order {order.ident} is open: {order.parts}" for order in ledger.held.orders.values()
                  if any(part.state in OPEN for part in order.parts.values())]
+        release = ledger.open  # type: ignore[union-attr]
+        if release and release.state in ("preparing", "running", "undoing"):
+            above = leaders[0].steward.above  # type: ignore[union-attr]
+            why = above.why if isinstance(above, Driver) else "nobody drives"
+            if not any(word in why for word in WAITS):  # for what operators have taken out for good
+                found.append(f"release {release.ident} is {release.state}, batch {release.batch},"
+                             f" {release.now}: {why}")
         for host in self.hosts.values():
             for part in host.orders.acting:
                 order = ledger.held.orders.get(part.order.ident)
--- a/oakkeel/node/controlled.py
+++ b/oakkeel/node/controlled.py
@@ -9,8 +9,10 @@
 from oakkeel.control.listener import ControlListener
 from oakkeel.control.messages import ClientsTold, Report
 from oakkeel.dispatch import codec
+from oakkeel.exchange import LiveExchange
 from oakkeel.interface import State
 from oakkeel.node.measures import descriptors, resident
+from oakkeel.node.outcomes import Outcomes
 from oakkeel.node.whole import Whole
 from oakkeel.policy import Stage
 
@@ -23,6 +25,13 @@
 class ControlledNode:
     def __init__(self, node: Whole) -> None:
         self.node, self.started = node, time.monotonic_ns()
+        self.outcomes = Outcomes(max((each.benefit for each in node.start.limits.groups), default=1.0))
+        self.version = os.environ.get("OAKKEEL_VERSION", "")
+        node.measures.watch = self._answered
+
+    def _answered(self, ex: LiveExchange, word: bytes) -> None:
+        self.outcomes.answered(time.monotonic_ns(), ex, ex.group_name.decode(errors="replace")[:64],
+                               word == codec.COMPLETED)
 
     def report(self, tag: int) -> Report:
         node, now = self.node, time.monotonic_ns()
@@ -35,6 +44,8 @@
             completed=node.measures.total.get(codec.COMPLETED, 0),
             denied=node.measures.total.get(codec.DENIED, 0),
             terminated=node.measures.total.get(codec.TERMINATED, 0),
+            version=self.version, load=round(node.host.gauges.core_busy, 4), benefit=self.outcomes.benefit,
+            times=self.outcomes.times,
         )
         if node.host.gauges_at:
             report.gauges_age = now - node.host.gauges_at
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/life.py
@@ -115,6 +115,8 @@
         if not ex.answered:
             ex.answered = True
             self.measures.count(word)
+            if self.measures.watch:
+                self.measures.watch(ex, word)
             ex.connection.answer(ex, word, body, last, retry_after)
 
     async def _wind_up(self, ex: LiveExchange) -> None:
--- a/oakkeel/node/measures.py
+++ b/oakkeel/node/measures.py
@@ -4,6 +4,8 @@
 
 import os
 import time
+from collections.abc import Callable
+from typing import Any
 
 from oakkeel.bounds import MS, SECOND
 
@@ -15,6 +17,7 @@
 
     def __init__(self) -> None:
         self.total: dict[bytes, int] = {}  # answers since the start
+        self.watch: Callable[[Any, bytes], None] | None = None  # told of each answer, where somebody asks
         self._restart()
 
     def _restart(self) -> None:
--- a/oakkeel/places/commands.py
+++ b/oakkeel/places/commands.py
@@ -46,6 +46,7 @@
 
     ident: str
     things: list[str]
+    down: bool = False  # to be used only while no process of them is there
 
 
 class Began(msgspec.Struct, tag="began", array_like=True):
--- a/oakkeel/places/granting.py
+++ b/oakkeel/places/granting.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 
 from oakkeel.places import commands
@@ -22,7 +21,6 @@
 SECOND = 1000 * MS
 TOLD, UNHEARD, ASKED = "does not serve", "not known", "to be granted"
 MOST_GRANTS = 64  # in one turn
-PAST = 8  # lives of an agent that are known to be over
 SCAN = 50 * MS  # between looks at what time alone brings about
 
 
@@ -52,14 +50,15 @@
     at: int
     told: dict[str, bool]  # by thing: whether it serves
     owes: dict[str, str]  # by thing that leaves
-    past: deque[int]  # lives of its agent before: what they said may still be on its way
+    echo: int  # it was alive after we had told it that time; 0: it has not heard us yet
 
 
 class Granting:
     """Made when a leader begins, and thrown away when it ends. Calls return commands to propose."""
 
-    def __init__(self, now: int, ledger: Ledger, terms: Terms) -> None:
-        self.ledger, self.terms = ledger, terms
+    def __init__(self, now: int, ledger: Ledger, terms: Terms, nonce: int = 1) -> None:
+        """`nonce` tells our stamps from those of other leaders."""
+        self.ledger, self.terms, self.nonce = ledger, terms, nonce
         self.hosts: dict[str, Heard] = {}
         self.granted: dict[int, int] = {}  # when places were granted, or when we began, by fence
         self.leases_at: dict[str, int] = {}  # when leases were taken or renewed, by name
@@ -106,16 +105,17 @@
     # What happens.
 
     def heard(self, now: int, poll: Poll) -> list[commands.Command]:
-        """An agent's report; one that was overtaken by a later one changes nothing."""
-        known = self.hosts.get(poll.host)
-        if known and (poll.life in known.past or poll.life == known.life and poll.count < known.count):
+        """An agent's report; one that was overtaken by a later one changes nothing.
+
+        One of another life is believed once it shows to have been alive after the one that we know of: a
+        report of an agent that was killed may come late, and must not stand in for those of the next.
+        """
+        known, echo = self.hosts.get(poll.host), poll.echo[1] if poll.echo[0] == self.nonce else 0
+        if known and (echo <= known.echo if poll.life != known.life else poll.count < known.count):
             return []
-        past = known.past if known else deque(maxlen=PAST)
-        if known and known.life != poll.life:
-            past.append(known.life)
         told = {each.name: each.up for each in poll.things}
         self.hosts[poll.host] = host = Heard(poll.life, poll.count, now, told, {
-            each.name: each.owes for each in poll.things if each.owes}, past)
+            each.name: each.owes for each in poll.things if each.owes}, echo)
         if known is None or known.told != told or now - known.at > self.terms.silent:
             self._believe(poll.host, host)
         wanted: list[commands.Command] = []
@@ -157,10 +157,8 @@
             return self._lay(now)
         if isinstance(command, commands.Hold):
             self.leases_at[command.name] = now
-        if isinstance(command, commands.Order):
-            order = held.orders.get(command.ident)
-            if order and order.index == index:
-                self._know(now, order)
+        if isinstance(result, Order) and result.index == index and result.ident in held.orders:
+            self._know(now, result)
         for thing in _things(command):
             place = held.places.get(thing)
             self.out.set(thing, HELD, place is not None)
@@ -262,9 +260,12 @@
         return UNHEARD not in reasons and ASKED not in reasons and not self.ledger.taken(thing, ident)
 
     def _grant(self, order: Order, things: list[str]) -> list[commands.Command]:
+        # What is out by itself takes no room. Where there is none, it must not have come up when it is used.
+        down = any(self.out.counts[name] > self.out.groups[name].bound
+                   for thing in things for name in self.out.of.get(thing, ()))
         for thing in things:
             self.out.put(thing, ASKED)
-        return [commands.Grant(order.ident, things)]
+        return [commands.Grant(order.ident, things, down)]
 
     def _propose(self, wanted: list[commands.Command]) -> list[commands.Command]:
         """Once each: the next report says the same as long as it is not agreed."""
@@ -288,7 +289,7 @@
                 left = self.granted.setdefault(place.fence, now) + self.terms.good - now
                 halted = order is None or order.halted
                 places.append(PlaceTold(thing, place.ident, place.fence, place.out,
-                                        0 if halted or place.lapsed else max(0, left)))
+                                        0 if halted or place.lapsed else max(0, left), place.down))
         known = self.orders_of.get(host, [])
         for ident in list(known):
             order = held.orders.get(ident)
@@ -302,7 +303,8 @@
             orders.append(OrderTold(ident, order.operator, order.verb, order.unix, max(0, left), order.halted,
                                     order.cancelled, parts))
         return Agreed(epoch, self.ledger.index, places, orders,
-                      {thing: held.generations[thing] for thing in here if thing in held.generations})
+                      {thing: held.generations[thing] for thing in here if thing in held.generations},
+                      stamp=(self.nonce, now))
 
 
 def _things(command: commands.Command) -> list[str]:
--- a/oakkeel/places/holding.py
+++ b/oakkeel/places/holding.py
@@ -22,6 +22,7 @@
     begun: bool = False
     back: bool = False  # what was taken out serves again
     given: bool = False  # it will not be begun
+    down: bool = False  # it may be begun only while no process of it is there
 
 
 class Holding:
@@ -31,6 +32,7 @@
         self.host, self.things, self.life = host, things, life
         self.epoch = ""
         self.count = self.heard = 0
+        self.stamp = (0, 0)
         self.told = False  # an answer was taken since the start
         self.places: dict[str, Held] = {}
         self.floors: dict[str, int] = {}  # by thing: the highest fence that was seen
@@ -61,10 +63,11 @@
             things.append(told)
         wanted = {thing: number for thing, number in reserve.items()
                   if number > self.generations.get(thing, 0)}
-        return Poll(self.host, self.life, self.count, self.heard, things, ended, wanted)
+        return Poll(self.host, self.life, self.count, self.heard, things, ended, wanted, b"", self.stamp)
 
     def answered(self, now: int, sent_at: int, answer: Agreed) -> bool:
         """Whether it holds: one of another record, or older than one that was taken, does not."""
+        self.stamp = answer.stamp  # whatever comes of it: by that the leader knows that we are alive
         if self.epoch and answer.epoch != self.epoch:
             self.why = f"record {answer.epoch} answers in place of {self.epoch}"
             return False
@@ -90,15 +93,18 @@
                 self.floors[thing] = place.fence
                 self.changed.add(thing)
             order = self.orders.get(place.ident)
+            held.down = place.down
             held.until = 0 if place.out else sent_at + place.good_for
             if order is None or order.halted:
                 held.until = 0
                 held.given = not held.begun
         return True
 
-    def may_begin(self, now: int, thing: str, ident: str) -> bool:
+    def may_begin(self, now: int, thing: str, ident: str, runs: bool = True) -> bool:
+        """`runs`: a process of it is there, for all that is known."""
         held = self.places.get(thing)
-        return bool(held and held.ident == ident and not held.given and (held.begun or now < held.until))
+        return bool(held and held.ident == ident and not held.given and (
+            held.begun or now < held.until and not (held.down and runs)))
 
     def begin(self, now: int, thing: str) -> None:
         """From now on it counts as begun, whatever becomes of it: to be kept before it is done."""
--- a/oakkeel/places/ledger.py
+++ b/oakkeel/places/ledger.py
@@ -56,6 +56,8 @@
     fence: int
     out: bool = False  # begun, as far as was told
     lapsed: int = 0  # index from which nobody may begin under it; it counts until its agent has said whether
+    down: bool = False  # it may be begun only while no process of the thing is there
+    was: str = ""  # the order whose place had taken it out before: it stays out if this one is not used
 
 
 class Lease(msgspec.Struct, array_like=True):
@@ -95,7 +97,7 @@
 
     def apply(self, index: int, content: bytes) -> object:
         try:
-            command = commands.read(content)
+            command = self.read(content)
         except msgspec.MsgspecError as error:  # by a version that knows more: the same no everywhere
             return Refusal(f"no command of this version: {error}")
         result = self.ACTS[type(command)](self, index, command)
@@ -108,13 +110,21 @@
         return msgspec.msgpack.encode(self.held)
 
     def restore(self, content: bytes) -> None:
-        self.held = _snapshots.decode(content) if content else Held()
+        self.held = self.taken_up(content)
         self.index = 0
         self._count()
 
     def keepers(self) -> tuple[str, ...]:
         return tuple(self.held.keepers)
 
+    # What a machine with more in it does in its own way.
+
+    def read(self, content: bytes) -> Any:
+        return commands.read(content)
+
+    def taken_up(self, content: bytes) -> Held:
+        return _snapshots.decode(content) if content else Held()
+
     # Reckoning.
 
     def _count(self) -> None:
@@ -212,7 +222,9 @@
         if why := self.out.against(command.things):
             return Refusal(why)
         for thing in command.things:
-            held.places[thing] = Place(thing, order.ident, index)
+            before = held.places.get(thing)
+            held.places[thing] = Place(thing, order.ident, index, down=command.down,
+                                       was=before.ident if before and before.out else "")
             self.out.put(thing, HELD)
             self._move(order.parts[thing], "granted", "")
         return index
@@ -225,8 +237,9 @@
         return ""
 
     def _comes_back(self, place: Place) -> bool:
+        """What a cancelled drain took out. A restart has no other way back than to come up."""
         order = self.held.orders.get(place.ident)
-        return bool(order and order.cancelled)
+        return bool(order and order.cancelled and order.verb != "restart")
 
     def _place(self, thing: str, fence: int) -> Place | None:
         place = self.held.places.get(thing)
@@ -255,7 +268,10 @@
                 self._move(part, "cancelled" if order.cancelled else "halted", f"by {order.halted}")
             else:
                 self._move(part, "waiting", "its place was given back")
-        self._free(place)
+        if place.was and not place.out:  # what an earlier order took out is out as before
+            self.held.places[place.thing] = Place(place.thing, place.was, index, True)
+        else:
+            self._free(place)
         return index
 
     def _lapse(self, index: int, command: commands.Lapse) -> object:
--- a/oakkeel/places/steward.py
+++ b/oakkeel/places/steward.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any, Protocol
 
 from oakkeel.places import commands
 from oakkeel.places.granting import Granting, Terms
@@ -17,12 +18,26 @@
 from oakkeel.record.words import Letter
 
 
+class Above(Protocol):
+    """What a leader does beyond places: made when it begins, thrown away when it ends, as `Granting` is."""
+
+    def heard(self, now: int, poll: Poll) -> list[Any]: ...
+    def answer(self, now: int, host: str) -> bytes: ...
+    def applied(self, now: int, command: object, result: object) -> None: ...
+    def lost(self, command: object) -> None: ...
+    def tick(self, now: int) -> list[Any]: ...
+
+
 class Steward:
     def __init__(self, now: int, held: Durable, seed: int, pace: Pace, founders: tuple[str, ...],
-                 layout: Layout, terms: Terms | None = None) -> None:
-        """`layout` is by this host's settings: it holds once a leader of the same settings has agreed it."""
+                 layout: Layout, terms: Terms | None = None, ledger: type[Ledger] = Ledger,
+                 above: Callable[[int, Any, Granting], Above] | None = None) -> None:
+        """`layout` is by this host's settings: it holds once a leader of the same settings has agreed it.
+        `ledger` and `above` bring in what is built on places."""
         self.now, self.layout, self.terms = now, layout, terms or Terms()
-        self.ledger = Ledger(self._applied)
+        self.ledger = ledger(self._applied)
+        self.make_above = above
+        self.above: Above | None = None
         self.granting: Granting | None = None
         self.watched: Callable[[int, commands.Command, object], None] | None = None  # told of what is agreed
         self.ours: dict[Proposal, commands.Command] = {}  # proposed by `granting`
@@ -38,12 +53,15 @@
     def polled(self, now: int, poll: Poll) -> tuple[Agreed, list[Steps]]:
         """An agent's report and what it is told. Raises NotLeading."""
         granting = self._leads(now)
-        steps = self._propose(now, granting.heard(now, poll))
+        above = self.above
+        steps = self._propose(now, granting.heard(now, poll) + (above.heard(now, poll) if above else []))
         answer = granting.answer(now, self.keeper.durable.epoch, poll.host)
+        if above:
+            answer.above = above.answer(now, poll.host)
         answer.keepers = sorted({*self.ledger.keepers(), *(each.name for each in self.keeper.members)})
         return answer, self._after(now, steps)
 
-    def propose(self, now: int, command: commands.Command) -> tuple[Proposal, list[Steps]]:
+    def propose(self, now: int, command: Any) -> tuple[Proposal, list[Steps]]:
         """Raises NotLeading."""
         self.now = now
         self._leads(now)
@@ -62,39 +80,51 @@
             for proposal in each.ended:
                 command = self.ours.pop(proposal, None)
                 if command and proposal.fate is not Fate.AGREED and self.granting:
-                    self.granting.lost(command)
+                    self._lost(command)
         if not self.keeper.leads(now):
             if self.keeper.leading is None:
-                self.granting = None
+                self.granting = self.above = None
                 self.ours.clear()
             return steps
         if self.granting is None:
-            self.granting = Granting(now, self.ledger, self.terms)
+            self.granting = Granting(now, self.ledger, self.terms, self.keeper.random.getrandbits(50) + 1)
             if self.ledger.held.layout != self.layout:
                 steps += self._propose(now, [commands.Lay(self.layout)])
-        while self.granting and (wanted := self.granting.tick(now)):
+            if self.make_above:
+                self.above = self.make_above(now, self.ledger, self.granting)
+        while self.granting and (wanted := self._wanted(now, self.granting)):
             more = self._propose(now, wanted)
             if not more:
                 break
             steps += more
         return steps
 
+    def _wanted(self, now: int, granting: Granting) -> list[Any]:
+        return granting.tick(now) + (self.above.tick(now) if self.above else [])
+
     def _propose(self, now: int, wanted: list[commands.Command]) -> list[Steps]:
         self.now, done = now, []
         for command in wanted:
             try:
                 proposal, steps = self.keeper.propose(now, commands.encode(command))
             except NotLeading:
-                if self.granting:
-                    self.granting.lost(command)
+                self._lost(command)
                 continue
             if proposal.fate is Fate.WAITING:
                 self.ours[proposal] = command
             done.append(steps)
         return done
 
+    def _lost(self, command: commands.Command) -> None:
+        if self.granting:
+            self.granting.lost(command)
+        if self.above:
+            self.above.lost(command)
+
     def _applied(self, index: int, command: commands.Command, result: object) -> None:
         if self.watched:
             self.watched(index, command, result)
         if self.granting:
             self.granting.applied(self.now, index, command, result)
+        if self.above:
+            self.above.applied(self.now, command, result)
--- a/oakkeel/places/words.py
+++ b/oakkeel/places/words.py
@@ -31,6 +31,8 @@
     things: list[ThingTold]
     ended: list[PartTold]
     reserve: dict[str, int]  # generations that it wants to be free to use
+    above: bytes = b""  # for what is built on places
+    echo: tuple[int, int] = (0, 0)  # the stamp of the latest answer that it took
 
 
 class PlaceTold(msgspec.Struct, array_like=True):
@@ -39,6 +41,7 @@
     fence: int
     out: bool
     good_for: int  # nanoseconds in which it may be begun, from when the poll was sent
+    down: bool = False  # only while no process of it is there
 
 
 class OrderTold(msgspec.Struct, array_like=True):
@@ -63,3 +66,5 @@
     orders: list[OrderTold]
     generations: dict[str, int]
     keepers: list[str] = []  # hosts whose agents keep the record, or shall
+    above: bytes = b""  # of what is built on places
+    stamp: tuple[int, int] = (0, 0)  # whose clock, and what it shows: who echoes it was alive after that
--- a/oakkeel/record/disk.py
+++ b/oakkeel/record/disk.py
@@ -16,8 +16,10 @@
     head: Durable
     snapshot: Snapshot = Snapshot(0, 0, (), b"")
     entries: dict[int, Entry] = field(default_factory=dict)
+    writes: int = 0
 
     def write(self, durable: Durable, keep: Keep) -> None:
+        self.writes += 1
         if keep.head:
             self.head = replace(durable, entries=[], marks=dict(durable.marks))
         if keep.snapshot and keep.whole:
@@ -37,4 +39,5 @@
 
     def copy(self) -> Disk:
         """As a backup takes it."""
-        return Disk(replace(self.head, marks=dict(self.head.marks)), self.snapshot, dict(self.entries))
+        return Disk(replace(self.head, marks=dict(self.head.marks)), self.snapshot, dict(self.entries),
+                    self.writes)
--- a/oakkeel/record/keeper.py
+++ b/oakkeel/record/keeper.py
@@ -60,7 +60,7 @@
 
 NEXT = {
     Role.JOINING: {Role.FOLLOWING, Role.OUTDATED},
-    Role.FOLLOWING: {Role.ASKING},
+    Role.FOLLOWING: {Role.ASKING, Role.OUTDATED},
     Role.ASKING: {Role.FOLLOWING, Role.STANDING},
     Role.STANDING: {Role.FOLLOWING, Role.ASKING, Role.LEADING},
     Role.LEADING: {Role.FOLLOWING},
@@ -141,6 +141,7 @@
         self.random = Random(seed)
         self.log = Log(held.snapshot, held.entries)
         self.role, self.since = Role.JOINING, now
+        self.started = now
         self.leader = ""  # by name
         self.leading: Leading | None = None
         self.commit = self.applied = held.snapshot.index
@@ -160,7 +161,7 @@
         self.steps = Steps()
         self.elections = 0  # that it won, for those who look
         self.why = ""  # it is outdated
-        if self.voters == {self.life} or held.epoch and self.life not in self.voters:
+        if self.voters == {self.life} or held.epoch and not self.counts:
             self._move(now, Role.FOLLOWING)  # nobody else can know what it has forgotten, or it has no vote
 
     # What it is asked.
@@ -181,6 +182,16 @@
     def voters(self) -> set[str]:
         return {each.life for each in self.members if each.votes}
 
+    @property
+    def counts(self) -> bool:
+        """Its vote may be asked for: by the latest members, or by those before while the change to them is
+        not agreed. One on its way out may be the only one who has the entry that says so, and must be able to
+        lead until it is agreed."""
+        if self.life in self.voters:
+            return True
+        before = [members for at, members in self.log.changes if at <= self.commit]
+        return any(each.life == self.life and each.votes for each in (before or [()])[-1])
+
     def leads(self, now: int) -> bool:
         """It may answer for the record without asking: no other can have been elected."""
         leading = self.leading
@@ -190,7 +201,7 @@
         """When `tick` has something to do, should nothing come before."""
         if self.leading:
             return min(self.leading.next_at(), self.tend_at)
-        if self.role is Role.JOINING or self.life not in self.voters:
+        if self.role is Role.JOINING or not self.counts:
             return self.hello_at
         return self.due
 
@@ -199,7 +210,7 @@
     def tick(self, now: int) -> Steps:
         if self.role is Role.OUTDATED:
             return self._done(now)
-        if self.role is Role.JOINING or self.life not in self.voters and self.role is Role.FOLLOWING:
+        if self.role is Role.JOINING or self.role is Role.FOLLOWING and not self.counts:
             if now >= self.hello_at:
                 self._say_hello(now)
         elif self.leading:
@@ -298,7 +309,9 @@
             return
         self._set_term(max(word.term, self.durable.term), SPENT)  # it may have voted in it
         self.answered.add(letter.life)
-        if self._majority(self.answered | {self.life}):
+        # All if they are there: the first to answer may be one that knows less than another.
+        if self.answered | {self.life} >= self.voters or now - self.started >= self.pace.ask_all and (
+                self._majority(self.answered | {self.life})):
             self._move(now, Role.FOLLOWING)
             self._wait(now)
 
@@ -406,6 +419,12 @@
         if not self._led(now, letter, word.term):
             return self.send(letter.name, Appended(self.durable.term, False, 0, word.sent))
         log, before, entries = self.log, word.before, word.entries
+        for life, term, index in word.marks:
+            if life == self.life and (term, index) > (log.last_term, log.last):
+                # The leader has our word for what we do not have: no count of it may include us.
+                self.why = (f"{letter.name} has its word for entry {index} of term {term}; its file ends with"
+                            f" {log.last} of {log.last_term}")
+                return self._move(now, Role.OUTDATED)
         if before < log.snapshot.index:  # what the snapshot holds is agreed, and so the same
             entries = entries[log.snapshot.index - before :]
             before = min(log.snapshot.index, before + len(word.entries))
--- a/oakkeel/record/kept.py
+++ b/oakkeel/record/kept.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 
 import msgspec
 
@@ -43,9 +45,60 @@
     return rows
 
 
-def write(store: Store, durable: Durable, keep: Keep) -> None:
+COUNTED: list[Statement] = [
+    ("CREATE TABLE IF NOT EXISTS writes (one INTEGER PRIMARY KEY, count INTEGER)", ())]
+
+
+class Witness:
+    """How often the record was written, beside the file and in it: a copy that is put back has fewer.
+
+    Beside it the count is written after the file, and not forced to the disk: a process that is killed leaves
+    it right, a power cut may leave it behind, and it is never ahead of the file that it belongs to.
+    """
+
+    def __init__(self, path: str, store: Store) -> None:
+        """Raises StoreError, or OSError."""
+        self.path, self.store = path, store
+        store.write(COUNTED)
+        rows = store.read("SELECT count FROM writes")
+        self.count = rows[0][0] if rows else 0
+        self.descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        told = os.pread(self.descriptor, 20, 0)
+        self.beside = int(told) if told.strip().isdigit() else 0
+
+    def why(self) -> str:
+        """What shows that the file is an older copy; empty where nothing does."""
+        if self.beside <= self.count:
+            return ""
+        return f"it was written {self.count} times, and {self.beside} times are known here"
+
+    def counted(self) -> Statement:
+        """Goes into the same transaction as what is kept."""
+        return "INSERT OR REPLACE INTO writes VALUES (1, ?)", (self.count + 1,)
+
+    def written(self) -> None:
+        """That transaction is on disk."""
+        self.count += 1
+        with contextlib.suppress(OSError):
+            os.pwrite(self.descriptor, b"%020d" % self.count, 0)
+
+    def begin_anew(self) -> None:
+        """The file that it counted for was put away."""
+        with contextlib.suppress(OSError):
+            os.pwrite(self.descriptor, b"%020d" % 0, 0)
+        os.close(self.descriptor)
+
+    def close(self) -> None:
+        os.close(self.descriptor)
+
+
+def write(store: Store, durable: Durable, keep: Keep, witness: Witness | None = None) -> None:
     """On disk once it returns. Raises StoreError: nothing of it is then."""
-    store.write(statements(durable, keep))
+    rows = statements(durable, keep)
+    if witness is None:
+        return store.write(rows)
+    store.write([*rows, witness.counted()])
+    witness.written()
 
 
 def load(store: Store, name: str, new_life: str) -> Durable:
--- a/oakkeel/record/pace.py
+++ b/oakkeel/record/pace.py
@@ -17,6 +17,7 @@
     most: int = 1000 * MS  # a wait is drawn between the two
     drift: float = 0.04  # by how much two clocks may go at different speeds
     hello: int = 200 * MS  # between questions of one that has just started
+    ask_all: int = 700 * MS  # one that has just started waits for all to say what it may have forgotten
     tend: int = 200 * MS  # between looks at who should be a member
     fold: int = 512  # entries agreed since the last snapshot, before the next
 
--- /dev/null
+++ b/oakkeel/rollout/book.py
@@ -0,0 +1,301 @@
+"""The ledger with releases in it: what each thing shall run, and how far the open release has come.
+
+Every command of a driver carries the fence of its lease and the number of the step that it saw last: an old
+driver that wakes, and a step that was taken already, are refused alike on every keeper. Free of I/O and time.
+"""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+import msgspec
+
+from oakkeel.places import commands as places
+from oakkeel.places.ledger import Held, Ledger, Order, Refusal
+from oakkeel.rollout import commands
+from oakkeel.rollout.commands import MOST_THINGS, Pace, What
+
+LEASE = "release"  # whoever holds it drives
+MOST_KEPT = 32  # releases that are over
+MOST_SEEN = 16 * 1024  # bytes of what the gates have seen
+
+# Of a release. preparing: hosts make their copies; running, undoing: forth and back; halted: nothing further
+# leaves until an operator says how it goes on.
+NEXT = {"preparing": {"running", "left"}, "running": {"paused", "halted", "undoing", "done"},
+        "paused": {"running", "halted", "undoing"}, "halted": {"running", "undoing", "left"},
+        "undoing": {"halted", "undone"}, "done": set(), "undone": set(), "left": set()}
+OVER = ("done", "undone", "left")
+# Of a part.
+PART_NEXT = {"old": {"changing"}, "changing": {"old", "new"}, "new": {"changing"}}
+
+
+class Part(msgspec.Struct, array_like=True):
+    """One thing of a release. `Book._put` alone changes its state."""
+
+    was: str  # the version before
+    state: str = "old"
+    base: str = ""  # the copy of what it ran, should its settings be other ones by then
+    tries: int = 0
+
+
+class Release(msgspec.Struct, array_like=True):
+    ident: str
+    operator: str
+    unix: int
+    index: int
+    what: What
+    pace: Pace
+    parts: dict[str, Part]
+    state: str = "preparing"
+    step: int = 0  # changed by everything that a driver does
+    batch: int = 0  # of the last one
+    now: list[str] = []  # the things of the batch that is under way
+    controls: list[str] = []  # and those that begin anew beside them
+    ready: list[str] = []  # hosts
+    back: bool = False  # what is halted was on its way back
+    why: str = ""
+    seen: bytes = b""
+    said: str = ""
+    turns: int = 0  # words of operators
+    forward: bool = True  # the batch under way brings the new
+
+    @property
+    def over(self) -> bool:
+        return self.state in OVER
+
+    @property
+    def order(self) -> str:
+        """The id of its last batch's order."""
+        return f"{self.ident}.{self.batch}"
+
+    def to(self, thing: str) -> str:
+        """The version that it shall have in the direction in which it goes."""
+        part = self.parts[thing]
+        return part.base or part.was if self.back else self.what.version
+
+
+class HeldMore(Held, array_like=True):
+    releases: dict[str, Release] = {}
+    versions: dict[str, str] = {}  # that a thing runs from its next start on; none: as its settings say
+    sources: dict[str, What] = {}  # of versions that some thing may have
+
+
+_snapshots = msgspec.msgpack.Decoder(HeldMore)
+
+
+class Book(Ledger):
+    held: HeldMore
+
+    def read(self, content: bytes) -> Any:
+        return commands.read(content)
+
+    def taken_up(self, content: bytes) -> HeldMore:
+        return _snapshots.decode(content) if content else HeldMore()
+
+    @property
+    def open(self) -> Release | None:
+        """There is one at most."""
+        return next((each for each in self.held.releases.values() if not each.over), None)
+
+    # An operator's.
+
+    def _begin(self, index: int, command: commands.Begin) -> object:
+        held, what = self.held, command.what
+        if known := held.releases.get(command.ident):
+            same = (known.operator, known.what, sorted(known.parts)) == (command.operator, what,
+                                                                         sorted(command.things))
+            return known if same else Refusal(f"that id is of another release, by {known.operator}")
+        if other := self.open:
+            return Refusal(f"{other.operator}'s release {other.ident} is {other.state}: it has to end first")
+        things = command.things
+        if not command.ident or len(command.ident) > 48 or "." in command.ident or not things \
+                or len(set(things)) != len(things) or len(things) > MOST_THINGS:
+            return Refusal("no id without a dot, nothing named, something twice, or too much at once")
+        known_things = {thing for here in held.layout.hosts.values() for thing in here}
+        services = {thing for group in held.layout.groups if group.name.startswith("kind ")
+                    for thing in group.things}
+        if unknown := sorted(set(things) - known_things):
+            return Refusal(f"there is no {unknown[0]}")
+        if wrong := [thing for thing in things if (thing in services) != what.services]:
+            return Refusal(f"{wrong[0]}: instances and services below are released one after the other")
+        if not what.version:
+            return Refusal("no version is named")
+        parts = {thing: Part(held.versions.get(thing, "")) for thing in things}
+        if same_now := [thing for thing, part in parts.items() if part.was == what.version]:
+            return Refusal(f"{same_now[0]} has that version already")
+        release = Release(command.ident, command.operator, command.unix, index, what, command.pace, parts)
+        held.releases[release.ident] = release
+        if not what.services:
+            held.sources[what.version] = what
+        for ident in [each.ident for each in held.releases.values() if each.over][:-MOST_KEPT]:
+            del held.releases[ident]
+        return release
+
+    def _turn(self, index: int, command: commands.Turn) -> object:
+        release = self.held.releases.get(command.ident)
+        if release is None:
+            return Refusal("no such release")
+        to, by = command.to, f"by {command.operator}"
+        if to == "abort" and release.state == "preparing":
+            to = "leave"
+        if to == "undo" and release.state == "preparing":
+            return Refusal("nothing of it was changed yet: abort it")
+        state = {"pause": "paused", "abort": "halted", "undo": "undoing", "leave": "left",
+                 "resume": "undoing" if release.back else "running"}.get(to, "")
+        if state == release.state:
+            return release
+        if state not in NEXT[release.state]:
+            return Refusal(f"it is {release.state}, and can't be told to {to}")
+        release.turns += 1
+        if to == "resume" and release.state == "halted":  # an operator knows better than the gates
+            release.seen = b""
+            for part in release.parts.values():
+                part.tries = 0
+        return self._shift(release, state, by)
+
+    # A driver's.
+
+    def _of(self, command: Any, *states: str) -> Release | Refusal:
+        """The release that a driver's step is for, if the step holds."""
+        release, lease = self.held.releases.get(command.ident), self.held.leases.get(LEASE)
+        if lease is None or lease.fence != command.fence:
+            return Refusal("another drives by now, or none")
+        if release is None or release.state not in states:
+            return Refusal("no such release, or it is not at that")
+        if command.step != release.step:
+            return Refusal(f"step {command.step} was taken: it is at {release.step}")
+        return release
+
+    def _ready(self, index: int, command: commands.Ready) -> object:
+        release, lease = self.held.releases.get(command.ident), self.held.leases.get(LEASE)
+        if lease is None or lease.fence != command.fence or release is None or release.state != "preparing":
+            return Refusal("nothing is prepared, or another drives")
+        if command.why:
+            return self._shift(release, "left", f"{command.host} can't take it: {command.why}")
+        if command.host not in release.ready:
+            release.ready.append(command.host)
+            for thing, base in command.bases.items():
+                if thing in release.parts:
+                    release.parts[thing].base = base
+        return release
+
+    def _go(self, index: int, command: commands.Go) -> object:
+        release = self._of(command, "preparing")
+        if isinstance(release, Refusal):
+            return release
+        release.step += 1
+        return self._shift(release, "running", "")
+
+    def _batch(self, index: int, command: commands.Batch) -> object:
+        release = self._of(command, "running", "undoing")
+        if isinstance(release, Refusal):
+            return release
+        wrong = "new" if not release.back else "old"
+        names = [thing for thing, _ in command.things]
+        if release.now or not names or any(
+                thing not in release.parts or release.parts[thing].state == wrong for thing in names):
+            return Refusal("a batch is under way, or something of this one can't be changed now")
+        held = self.held
+        verb = "drain" if release.what.services else "restart"
+        order = self._order(index, places.Order(
+            f"{release.ident}.{release.batch + 1}", release.operator, verb, command.unix, release.pace.lasts,
+            False, [*command.things, *command.controls]))
+        if isinstance(order, Refusal):
+            return order
+        release.step, release.batch = release.step + 1, release.batch + 1
+        for thing in names:
+            part = release.parts[thing]
+            part.tries += 1
+            self._put(part, "changing")
+            self._shall_run(thing, release.to(thing))
+        release.forward = not release.back
+        release.now, release.controls = names, [thing for thing, _ in command.controls]
+        assert isinstance(order, Order)
+        if not order.open:  # all of it was refused: to be settled all the same
+            held.orders.setdefault(order.ident, order)
+        return order
+
+    def _settle(self, index: int, command: commands.Settle) -> object:
+        release = self._of(command, "running", "paused", "halted", "undoing")
+        if isinstance(release, Refusal):
+            return release
+        release.step += 1
+        for thing in release.now:
+            part = release.parts[thing]
+            new = thing in command.new
+            self._put(part, "new" if new else "old")
+            self._shall_run(thing, release.what.version if new else part.base or part.was)
+        release.now = []
+        return release
+
+    def _judge(self, index: int, command: commands.Judge) -> object:
+        release = self._of(command, "running", "paused", "undoing")
+        if isinstance(release, Refusal):
+            return release
+        release.step += 1
+        if len(command.seen) <= MOST_SEEN:
+            release.seen = command.seen
+        release.said = command.said[:500]
+        if command.why:
+            going_back = release.state == "undoing"
+            self._shift(release, "halted", command.why[:500])
+            if release.pace.back and not going_back:
+                self._shift(release, "undoing", command.why[:500])
+        return release
+
+    def _finish(self, index: int, command: commands.Finish) -> object:
+        release = self._of(command, "running", "undoing")
+        if isinstance(release, Refusal):
+            return release
+        end = "old" if release.back else "new"
+        if release.now or any(part.state != end for part in release.parts.values()):
+            return Refusal("not all of it is there")
+        release.step += 1
+        return self._shift(release, "undone" if release.back else "done", "")
+
+    # Changes.
+
+    def _shall_run(self, thing: str, version: str) -> None:
+        if version:
+            self.held.versions[thing] = version
+        else:
+            self.held.versions.pop(thing, None)
+
+    def _put(self, part: Part, state: str) -> None:
+        """The one place where the state of a part changes."""
+        if state not in PART_NEXT[part.state] and state != part.state:
+            raise RuntimeError(f"{part.state} to {state}")
+        part.state = state
+
+    def _shift(self, release: Release, state: str, why: str) -> Release:
+        """The one place where the state of a release changes."""
+        if state not in NEXT[release.state]:
+            raise RuntimeError(f"{release.state} to {state}")
+        was, release.state = release.state, state
+        release.why = why or release.why
+        order = self.held.orders.get(release.order)
+        if state in ("paused", "halted", "undoing") and order and order.open:
+            order.halted = order.halted or release.operator
+            self._end_waiting(order, "halted", f"release {release.ident} {state}")
+            if state == "undoing":  # what does not come up is not waited for
+                order.cancelled = order.cancelled or release.operator
+        if state == "undoing":
+            if not release.back:
+                release.seen = b""
+                for part in release.parts.values():
+                    part.tries = 0
+            release.back = True
+        if state in OVER:
+            for thing, part in release.parts.items():
+                if part.state == "old":
+                    self._shall_run(thing, part.was)
+            wanted = {*self.held.versions.values()}
+            self.held.sources = {version: what for version, what in self.held.sources.items()
+                                 if version in wanted}
+        if was == "preparing" or state == "running":
+            release.why = why
+        return release
+
+    ACTS: ClassVar[dict[type, Any]] = {
+        **Ledger.ACTS, commands.Begin: _begin, commands.Turn: _turn, commands.Ready: _ready, commands.Go: _go,
+        commands.Batch: _batch, commands.Settle: _settle, commands.Judge: _judge, commands.Finish: _finish}
--- /dev/null
+++ b/oakkeel/rollout/commands.py
@@ -0,0 +1,114 @@
+"""What is put to the record for releases. Those with a fence are a driver's, under its lease alone."""
+
+from __future__ import annotations
+
+import msgspec
+
+from oakkeel.places import commands as places
+
+MOST_THINGS = places.MOST_THINGS
+
+
+class What(msgspec.Struct, array_like=True):
+    """What is released: a content, and where hosts find it until they have a copy of their own."""
+
+    version: str  # hash of the content; of services any text
+    program: str = ""  # folder
+    patch: str = ""  # file, merged into each instance's configuration
+    services: bool = False  # it is of services below, which are replaced by hand
+
+
+class Pace(msgspec.Struct, array_like=True):
+    """How a release goes on. Times in nanoseconds."""
+
+    canary: int = 1
+    growth: float = 2.0  # as many again, times this less one, as have the new by now
+    most: int = 0  # in one batch; 0: as the bounds allow
+    control: bool = True  # restart as many of the old beside the first ones, to compare cold with cold
+    gated: bool = True
+    back: bool = False  # what was halted by its gates goes back by itself
+    soak: int = 60_000_000_000  # at least so long after each batch
+    patience: int = 600_000_000_000  # with no answer from the gates for so long it halts
+    lasts: int = 120_000_000_000  # for one batch
+    margin: float = 0.02  # of the benefit: a loss of that must be told from none
+    ceiling: float = 0.85  # load of those left at a site
+
+
+class Begin(msgspec.Struct, tag="begin", array_like=True):
+    ident: str
+    operator: str
+    unix: int
+    what: What
+    pace: Pace
+    things: list[str]
+
+
+class Turn(msgspec.Struct, tag="turn", array_like=True):
+    """An operator's word: pause, resume, abort, undo, leave."""
+
+    ident: str
+    operator: str
+    to: str
+
+
+class Ready(msgspec.Struct, tag="ready", array_like=True):
+    """A host has its copy of the new and of what runs there, or says why not."""
+
+    ident: str
+    fence: int
+    host: str
+    why: str
+    bases: dict[str, str]  # by thing: the version of what it runs now
+
+
+class Go(msgspec.Struct, tag="go", array_like=True):
+    ident: str
+    fence: int
+    step: int
+
+
+class Batch(msgspec.Struct, tag="batch", array_like=True):
+    """Change these now, each of the generation that was seen; `controls` begin anew as they are."""
+
+    ident: str
+    fence: int
+    step: int
+    unix: int
+    things: list[tuple[str, int]]
+    controls: list[tuple[str, int]] = []
+
+
+class Settle(msgspec.Struct, tag="settle", array_like=True):
+    """The batch is over: these run the new, the rest the old."""
+
+    ident: str
+    fence: int
+    step: int
+    new: list[str]
+
+
+class Judge(msgspec.Struct, tag="judge", array_like=True):
+    """What the gates have seen so far, for whoever drives next; with a reason it halts."""
+
+    ident: str
+    fence: int
+    step: int
+    seen: bytes
+    said: str  # for people
+    why: str = ""  # it halts; empty: it goes on
+
+
+class Finish(msgspec.Struct, tag="finish", array_like=True):
+    """All of it is where it shall be."""
+
+    ident: str
+    fence: int
+    step: int
+
+
+Command = Begin | Turn | Ready | Go | Batch | Settle | Judge | Finish
+_commands = msgspec.msgpack.Decoder(Command | places.Command)
+
+
+def read(content: bytes) -> Command | places.Command:
+    return _commands.decode(content)
--- a/oakkeel/standins/catalogue.py
+++ b/oakkeel/standins/catalogue.py
@@ -15,9 +15,9 @@
         self.calls = 0
         self.server: asyncio.Server | None = None
 
-    async def open(self) -> int:
+    async def open(self, port: int = 0) -> int:
         """Listen on loopback; returns the port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         return self.server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
@@ -25,7 +25,8 @@
             self.server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, ValueError, IndexError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, ValueError, IndexError, asyncio.IncompleteReadError,
+                                 asyncio.CancelledError):  # by the end of the loop
             while line := (await reader.readline()).split():
                 if self.fault is Fault.CRASH:
                     break
--- a/oakkeel/standins/node.py
+++ b/oakkeel/standins/node.py
@@ -3,8 +3,9 @@
 How it behaves stands in NAME.script beside its control socket, read again before each answer. Words: `mute`
 accepts and never answers, `old` answers with an earlier generation, `crash` ends at the start with code 3,
 `deaf` does not leave, `cold` says that it is cold, `linger` takes a second to leave, `slow` is cold for a
-second at its start. What happens to it is a line in NAME.journal: a word, its generation, its pid, and the
-monotonic time.
+second at its start; `worse` and `slower` bring less than others, `leak` grows, `mortal` ends by itself
+after a second, `worse-cold` brings less while it is cold. OAKKEEL_BEHAVE adds words to all of these. What
+happens to it is a line in NAME.journal: a word, its generation, its pid, and the monotonic time.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 import sys
 import time
 
+RATE = 400.0  # exchanges a second, as it makes believe
+
 
 class NodeStandin:
     def __init__(self) -> None:
@@ -34,9 +37,21 @@
             file.write(f"{word} {self.generation} {os.getpid()} {time.monotonic_ns()}\n")
 
     def script(self) -> list[str]:
+        words = os.environ.get("OAKKEEL_BEHAVE", "").split()
         with contextlib.suppress(OSError), open(self.base + ".script", encoding="ascii") as file:
-            return file.read().split()
-        return []
+            return words + file.read().split()
+        return words
+
+    def figures(self, script: list[str], cold: bool) -> dict[str, object]:
+        """As if it had answered so many exchanges a second since its start, evenly good or bad."""
+        lasted = time.monotonic() - self.began
+        count = float(int(RATE * lasted))
+        bad = 0.3 if "worse" in script or "worse-cold" in script and cold else 0.02
+        good = float(int(count * (1 - bad)))
+        middle = -2.0 + ("slower" in script)
+        return {"version": os.environ.get("OAKKEEL_VERSION", ""), "load": 0.2, "benefit": [count, good, good],
+                "resident_kb": 20_000 + int(1000 * lasted) * ("leak" in script), "times": {
+                    "quote": [good, good * middle, good * (middle * middle + 0.25)]}}
 
     def leave(self, *_: object) -> None:
         """SIGTERM: nothing takes it back."""
@@ -73,6 +88,8 @@
     def run(self) -> int:
         signal.signal(signal.SIGTERM, self.leave)
         self.note("start")
+        if version := os.environ.get("OAKKEEL_VERSION", ""):
+            self.note(f"runs-{version}")
         if "crash" in self.script():
             return 3
         with contextlib.suppress(FileNotFoundError):
@@ -83,6 +100,9 @@
         watched = selectors.DefaultSelector()
         watched.register(server, selectors.EVENT_READ)
         while not self.over(self.script()):
+            if "mortal" in self.script() and time.monotonic() - self.began > 1.0:
+                self.note("died")
+                return 4
             for key, _ in watched.select(0.02):
                 if key.fileobj is server:
                     watched.register(server.accept()[0], selectors.EVENT_READ)
@@ -109,6 +129,7 @@
                 answer = {"type": "report", "tag": wish["tag"], "name": os.environ["PROXY_NAME"],
                           "pid": os.getpid(), "generation": self.generation - ("old" in script),
                           "state": self.state(script), "address": "127.0.0.1:1", "uptime": 1}
+                answer |= self.figures(script, answer["state"] == "cold")
             link.sendall(json.dumps(answer).encode() + b"\n")
         return True
 
--- a/oakkeel/standins/site.py
+++ b/oakkeel/standins/site.py
@@ -45,6 +45,7 @@
         self.told = {**TOLD, "ceilings": {"retry-after": True, "max-retry-after": most_return * SECOND}}
         self.sites = sites or dict.fromkeys(hosts, "woodbrook")
         self.catalogue, self.directory = Catalogue(), Directory()
+        self.catalogues: dict[str, str] = {}  # addresses in place of the one, by instance
         self.engines: dict[str, Engine] = {}
         self.ports = {host: free_port() for host in hosts}
         self.settings = os.path.join(folder, "fleet.xml")
@@ -55,7 +56,8 @@
             self.engines[name] = Engine(self.seed + len(self.engines), work=self.work, calls=4)
             port = await self.engines[name].open()
             told = {"name": name, "listen": "127.0.0.1:0", "engine": f"127.0.0.1:{port}",
-                    "lookup": f"127.0.0.1:{lookup}", "catalog": f"127.0.0.1:{catalogue}",
+                    "lookup": f"127.0.0.1:{lookup}",
+                    "catalog": self.catalogues.get(name, f"127.0.0.1:{catalogue}"),
                     "seed": f"{self.seed + len(self.engines):016x}", "stop_ms": 3200,
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.told}
             with open(os.path.join(self.folder, f"{name}.json"), "w", encoding="utf-8") as file:
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -1,8 +1,10 @@
 """Stories of the record and of places, free of I/O: keepers that agree, files lost, drawn schedules."""
 
+import contextlib
 import dataclasses
 import os
 import random
+import sqlite3
 import subprocess
 import sys
 import tempfile
@@ -29,7 +31,7 @@
 from oakkeel.record.log import Log, Snapshot
 from oakkeel.record.pace import Pace
 from oakkeel.record.words import Append, Appended, Entry, Hello, Kind, Letter, Member, encode_members
-from oakkeel.store.durable import Store, StoreError
+from oakkeel.store.durable import APPLICATION, Store, StoreError
 
 
 class Notes:
@@ -192,6 +194,33 @@
         net.run(5 * SECOND, lambda: net.keepers[victim].life in net.leader().voters)
         self.assertEqual(net.lines()[victim], [b"one", b"two", b"three", b"four"])
 
+    def test_the_first_to_answer_may_know_less_so_all_that_are_there_are_asked(self):
+        """Drawn schedule 1018860: one with an old file heard first from a keeper that did not know."""
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        leader = net.leader().name
+        victim, other = (name for name in net.keepers if name != leader)
+        backup = net.disks[victim].copy()
+        net.cut = {(leader, other), (other, leader)}
+        net.agree(b"two", b"three")
+        net.disks[victim] = backup
+        net.start(victim)
+        net.run(300 * MS, lambda: net.keepers[victim].role is not Role.JOINING)
+        self.assertEqual(net.keepers[victim].role, Role.OUTDATED)
+
+    def test_a_leader_that_has_the_word_of_a_follower_for_more_than_it_holds_ends_its_old_file(self):
+        net = Net("a", "b", "c")
+        net.agree(b"one")
+        leader = net.leader().name
+        victim = next(name for name in net.keepers if name != leader)
+        backup = net.disks[victim].copy()
+        net.agree(b"two", b"three")
+        net.disks[victim] = backup
+        net.start(victim)
+        net.keepers[victim]._move(net.now, Role.FOLLOWING)  # as if nobody had known
+        net.run(SECOND, lambda: net.keepers[victim].role is Role.OUTDATED)
+        self.assertRegex(net.keepers[victim].why, "has its word for entry")
+
     def test_one_that_hears_the_leader_before_it_may_know_what_it_forgot_is_not_taken_for_an_old_copy(self):
         net = Net("a", "b", "c")
         net.agree(b"one")
@@ -254,6 +283,26 @@
         self.assertNotEqual(net.leader().name, leader.name)
         net.agree(b"after")
 
+    def test_one_on_its_way_out_can_lead_until_that_is_agreed_where_it_alone_knows_of_it(self):
+        """Drawn schedule 1006046: it held the entry that took it out, would vote for nobody with less, and
+        did not stand; the others had no majority without it."""
+        net = Net("a", "b", "c", "d")
+        net.agree(b"one")
+        leader = net.leader()
+        others = [name for name in net.keepers if name != leader.name]
+        net.cut = {(leader.name, other) for other in others}
+        leader._append(net.now, Kind.MEMBERS, encode_members([
+            each for each in leader.members if each.name != leader.name]))
+        net.carry_out(leader.name, leader._done(net.now))
+        del net.disks[others[0]]
+        net.start(others[0])
+        net.run(3 * SECOND)
+        net.cut.clear()
+        net.agree(b"two")
+        net.run(3 * SECOND)
+        self.assertNotIn(leader.life, net.leader().voters)
+        self.assertEqual(net.keepers[others[1]].machine.lines, [b"one", b"two"])
+
     def test_what_a_cut_off_leader_took_is_lost_or_agreed_and_never_half(self):
         net = Net("a", "b", "c")
         leader = net.leader()
@@ -418,6 +467,38 @@
                                                      (2, Entry(1, 2, bytes(100_000)))]))
         self.assertEqual(kept.load(store, "a", "a.2").entries, [])
 
+    def test_a_copy_that_is_put_back_shows_by_how_often_it_was_written(self):
+        """Drawn schedule 1008469: with its leader stopped nobody else could know."""
+        store = Store(self.path, kept.SCHEMA, kept.VERSION)
+        witness = kept.Witness(self.path + ".count", store)
+        durable = kept.load(store, "a", "a.1")
+        kept.write(store, durable, Keep(head=True), witness)
+        store.base.execute("VACUUM INTO ?", (self.path + ".backup",))
+        kept.write(store, durable, Keep(head=True), witness)
+        witness.close()
+        store.close()
+        again = Store(self.path, kept.SCHEMA, kept.VERSION)
+        self.assertEqual(kept.Witness(self.path + ".count", again).why(), "")
+        again.close()
+        os.replace(self.path + ".backup", self.path)
+        for ending in ("-wal", "-shm"):
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(self.path + ending)
+        back = sqlite3.connect(self.path)
+        back.execute(f"PRAGMA application_id = {APPLICATION}")
+        back.close()
+        old = Store(self.path, kept.SCHEMA, kept.VERSION)
+        self.assertIn("written 1 times, and 2", kept.Witness(self.path + ".count", old).why())
+        old.close()
+
+    def test_a_power_cut_may_leave_the_count_beside_the_file_behind_and_that_is_no_old_copy(self):
+        store = Store(self.path, kept.SCHEMA, kept.VERSION)
+        witness = kept.Witness(self.path + ".count", store)
+        kept.write(store, kept.load(store, "a", "a.1"), Keep(head=True), witness)
+        os.truncate(self.path + ".count", 0)
+        self.assertEqual(kept.Witness(self.path + ".count", store).why(), "")
+        store.close()
+
     def test_terms_that_go_back_are_damage(self):
         durable = Durable("a", "a.1", term=3, entries=[Entry(2, 2, b""), Entry(1, 2, b"")])
         self.assertEqual(kept.check(durable), "terms that go back")
@@ -451,7 +532,7 @@
         return result
 
     def lead(self) -> None:
-        self.granting = Granting(self.now, self.ledger, Terms())
+        self.granting = Granting(self.now, self.ledger, Terms(), self.index + 1)
 
     def turn(self, *hosts: str) -> None:
         """Agents say how they are, and the leader does what follows."""
@@ -591,9 +672,60 @@
         self.holding["h1"] = Holding("h1", LAYOUT.hosts["h1"], 2)
         self.up["a"] = False
         self.turn("h1")
+        self.turn("h1")  # it has heard the leader: by that it is known to be the later one
         self.granting.heard(self.now, late)
         self.assertIn("does not serve", self.granting.out.reasons["a"])
 
+    def test_a_late_word_of_an_agent_that_was_killed_does_not_make_the_next_one_unheard(self):
+        """Drawn schedule 1020500: after a change of leader it came behind the next one's first word, which
+        was then taken for the earlier life, and that agent was heard no more."""
+        self.turn()
+        late = self.holding["h1"].poll(self.now, self.up, [], {})
+        self.holding["h1"] = Holding("h1", LAYOUT.hosts["h1"], 2)
+        self.index += 1
+        self.lead()
+        self.up["a"] = False
+        self.turn("h1")
+        self.granting.heard(self.now, late)
+        self.turn("h1")
+        self.now += SECOND
+        self.turn("h1")
+        self.assertEqual(self.granting.hosts["h1"].life, 2)
+        self.assertEqual(self.granting.hosts["h1"].at, self.now)
+
+    def test_what_an_order_took_out_stays_out_where_the_next_one_on_it_is_not_used(self):
+        """Drawn schedule 1016590: a restart of what was stopped was cancelled unused, and nothing knew of the
+        stop any more."""
+        self.turn()
+        self.order("o1", "a", verb="stop")
+        self.turn()
+        self.begin("h1", "a", "o1")
+        self.turn()
+        self.put(commands.Ended("o1", "a", "done", ""))
+        self.order("o2", "a", verb="restart")
+        self.turn()
+        self.assertEqual(self.ledger.held.places["a"].ident, "o2")
+        self.put(commands.Halt("o2", "ravi"))
+        self.turn()
+        self.turn()
+        place = self.ledger.held.places["a"]
+        self.assertEqual((place.ident, place.out), ("o1", True))
+        self.up["a"] = True
+        self.turn()
+        self.holding["h1"].is_back("a")
+        self.turn()
+        self.assertNotIn("a", self.ledger.held.places)
+
+    def test_with_more_out_than_may_be_a_place_on_one_of_them_holds_only_while_it_is_down(self):
+        self.up["a"] = self.up["b"] = False  # the bound of their site is 1
+        self.turn()
+        self.order("o1", "a", verb="restart")
+        self.turn()
+        holding = self.holding["h1"]
+        self.assertTrue(self.ledger.held.places["a"].down)
+        self.assertFalse(holding.may_begin(self.now, "a", "o1", True))
+        self.assertTrue(holding.may_begin(self.now, "a", "o1", False))
+
     def test_after_a_halt_a_granted_place_is_given_back_and_what_began_goes_on(self):
         self.turn()
         self.order("o1", "a", "c", "d")
@@ -759,7 +891,7 @@
             for seed in range(6)]
         self.assertEqual([breach for each in schedules for breach in play(each)[1]], [])
 
-        def for_ever(self, now, thing, ident):
+        def for_ever(self, now, thing, ident, runs=True):
             held = self.places.get(thing)
             return held is not None and held.ident == ident and not held.given
 
