Settle a batch only with what stays so; end parts that nobody knows of any more

Looked into by cutting them down and printing steps, starts and what agents told; excluded: the auditor (the process had written down its start), the agent's file (whole in the first four). At fault: Driver._is_new took one that was still draining for old, which then came up with the new (driver.py _finish_batch let failed ones pass that had a process that leaves); Deciding._ended told nothing of a part that is out whose order an agent without its file never knew. Change: one with no process, or whose process leaves, counts as new, and is changed again; what runs otherwise than it was settled is changed again; nothing is told as done or undone before all of it was heard. Parts that are out and unknown end once their order's time is over. A site of one can be released whatever its load.

--- a/oakkeel/agent/deciding.py
+++ b/oakkeel/agent/deciding.py
@@ -97,6 +97,9 @@
                     told.append(PartTold(order.ident, thing, "refused", why))
                 elif self._done_before(order, thing):
                     told.append(PartTold(order.ident, thing, "done", ""))
+                elif part is None and state == "out" and (order.halted or order.left <= 0):
+                    # Else it would stand for ever: nobody here knows that it was ever begun.
+                    told.append(PartTold(order.ident, thing, "failed", "its agent lost its file meanwhile"))
         return told
 
     def _done_before(self, order: OrderTold, thing: str) -> bool:
--- a/oakkeel/emulator/agreement.py
+++ b/oakkeel/emulator/agreement.py
@@ -42,7 +42,7 @@
 
 TURN, POLL, ANSWER = 100 * MS, 150 * MS, 800 * MS
 PACE, TERMS = Pace(fold=64), Terms()
-WAITS = ("would pass its bound", "is the last that serves", "all that is left is out")
+WAITS = ("would pass its bound", "the last that serves", "all that is left is out", "would carry")
 PATIENCE = Patience(backoff=300 * MS, steady=2 * SECOND, drain=3 * SECOND)
 
 
--- a/oakkeel/models/releases.py
+++ b/oakkeel/models/releases.py
@@ -125,3 +125,41 @@
         solver.add(z3.Or(*moves))
     solver.add(bad[count])
     return solver.check() == z3.sat
+
+
+def most_out(bound: int, rules: set[str]) -> int:
+    """How many of three things can be out at one time at most, at every interleaving of two drivers.
+
+    Each driver knows the step that it saw last and may propose a batch of any thing that is in; what the
+    record takes may be used at once or later. `rules`: step, a batch holds once; places, none without one
+    within the bound; one batch, the next only after the last is settled.
+    """
+    most, seen = 0, set()
+    # step, what each driver saw, proposals on their way (driver's step, thing), batch under way, what is out
+    ahead: list[tuple] = [(0, (0, 0), ((), ()), -1, frozenset())]
+    while ahead:
+        state = ahead.pop()
+        if state in seen:
+            continue
+        seen.add(state)
+        step, saw, way, batch, out = state
+        most = max(most, len(out))
+        if step > 5:
+            continue
+        for who in (0, 1):
+            ahead.append((step, (step, saw[1]) if who == 0 else (saw[0], step), way, batch, out))
+            for thing in range(3):
+                if not way[who]:
+                    sent = (saw[who], thing)
+                    ahead.append((step, saw, (sent, way[1]) if who == 0 else (way[0], sent), batch, out))
+            if way[who]:
+                at, thing = way[who]
+                left = ((), way[1]) if who == 0 else (way[0], ())
+                holds = (("step" not in rules or at == step) and ("one batch" not in rules or batch < 0)
+                         and thing not in out and ("places" not in rules or len(out) < bound))
+                ahead.append((step, saw, left, batch, out))  # refused, or lost on its way
+                if holds:
+                    ahead.append((step + 1, saw, left, thing, out | {thing}))
+        for thing in out:  # it is back, and the batch may be settled
+            ahead.append((step, saw, way, -1 if thing == batch else batch, out - {thing}))
+    return most
--- a/oakkeel/rollout/book.py
+++ b/oakkeel/rollout/book.py
@@ -197,10 +197,9 @@
         release = self._of(command, "running", "undoing")
         if isinstance(release, Refusal):
             return release
-        wrong = "new" if not release.back else "old"
         names = [thing for thing, _ in command.things]
         if release.now or not names or any(
-                thing not in release.parts or release.parts[thing].state == wrong for thing in names):
+                thing not in release.parts for thing in names):
             return Refusal("a batch is under way, or something of this one can't be changed now")
         held = self.held
         verb = "drain" if release.what.services else "restart"
--- a/oakkeel/rollout/driver.py
+++ b/oakkeel/rollout/driver.py
@@ -181,12 +181,17 @@
         if release.state not in ("running", "undoing"):
             return None
         end = "old" if release.back else "new"
-        left = [thing for thing, part in release.parts.items() if part.state != end]
+        left = [thing for thing, part in release.parts.items() if part.state != end
+                or self._strays(now, release, thing)]
         if gated := self._gated(now, release, gate):
             return gated
         if self.why:
             return None
         if not left:
+            if unheard := [thing for thing in release.parts if not release.what.services and (
+                    (each := self.seen.get(thing)) is None or not each.fresh(now))]:
+                self.why = f"waits to hear what {', '.join(unheard[:5])} run"
+                return None
             return commands.Finish(*head)
         if worn := [thing for thing in left if release.parts[thing].tries >= TRIES]:
             return self._halt(release, gate, f"{worn[0]} was changed {TRIES} times, and is not there:"
@@ -234,8 +239,8 @@
         came = [thing for thing in release.now if self._came(now, release, thing)]
         if open_ones or out:
             # What is broken will not come back by itself: a halted release says so and lets it be.
-            if not stopped or any(thing not in failed and not self._broken(now, thing) for thing in
-                                  {*open_ones, *out} & set(release.now)):
+            missing = {*open_ones, *out} & set(release.now)
+            if not stopped or any(not self._broken(now, thing) for thing in missing):
                 self.why = f"batch {release.batch}: {', '.join((open_ones or out)[:5])} not back yet"
                 return None
         elif not stopped and len(came) < len(release.now) and not self._refused(parts, release):
@@ -261,17 +266,29 @@
         return bool(each and each.fresh(now) and each.phase in ("cold", "serving")
                     and (each.version == release.what.version) is release.forward)
 
+    def _strays(self, now: int, release: Release, thing: str) -> bool:
+        """It runs something else than it was settled with: it died before its agent had heard of that."""
+        each = self.seen.get(thing)
+        if release.what.services or each is None or not each.fresh(now):
+            return False
+        new = each.version == release.what.version
+        return each.phase in ("cold", "serving") and new is release.back
+
     def _broken(self, now: int, thing: str) -> bool:
         each = self.seen.get(thing)
-        return bool(each and each.fresh(now) and (each.resting or each.phase in ("failing", "stopped")))
+        return bool(each and each.fresh(now) and (each.resting or each.phase in (
+            "failing", "stopped", "silent", "stuck")))
 
     def _is_new(self, release: Release, thing: str, parts: dict) -> bool:
-        """What it runs by now. Of a service: whether the operator has replaced it."""
+        """What it runs by now, or will run: one with no process, or whose process leaves, may be started
+        with what the batch brings at any moment, and has to be changed again. Of a service: whether the
+        operator has replaced it."""
         if release.what.services:
             replaced = thing in parts and parts[thing].state == "done"
             return replaced is release.forward
         each = self.seen.get(thing)
-        return bool(each and each.version == release.what.version)
+        stays = each is not None and each.phase in ("starting", "cold", "serving", "silent", "stuck")
+        return not stays or each is not None and each.version == release.what.version
 
     def _story(self, release: Release, thing: str) -> str:
         order = self.book.held.orders.get(release.order)
--- a/oakkeel/rollout/plan.py
+++ b/oakkeel/rollout/plan.py
@@ -166,8 +166,10 @@
         site = self.site.get(thing, "")
         for place in {site, *(self.site.get(each, "") for each in hanging)}:
             lost = sum(self.site.get(each, "") == place for each in (thing, *hanging)) if place else 0
+            if not lost or lost >= len(self.groups[place].things):
+                continue  # it is all of the site, which nobody there could carry
             can = capacity.get(place, 0.0) - lost
-            if lost and load.get(place, 0.0) > 0.05 and load[place] > ceiling * max(can, 1e-9):
+            if load.get(place, 0.0) > 0.05 and load[place] > ceiling * max(can, 1e-9):
                 return (f"{place}: those left would carry {load[place]:.2f} on {max(0.0, can):.2f} nodes'"
                         f" worth of cores, over {ceiling:g}")
         return ""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -194,6 +194,12 @@
         self.out.put("b", "does not serve")
         self.assertEqual(self.choose("a").things, [])
 
+    def test_a_site_of_one_can_be_released_though_nobody_there_carries_its_load(self):
+        layout = Layout({"h1": ("a",)}, (Group("site one", 1, ("a",)),))
+        self.seen["a"].load = 0.9
+        choice = Planner(layout).choose(0, ["a"], self.seen, Out(layout), 1, 0.5, False)
+        self.assertEqual(choice.things, ["a"])
+
     def test_on_a_way_back_what_is_broken_comes_first_and_needs_no_room(self):
         self.out.put("a", "does not serve")
         self.seen["a"].phase = "failing"
@@ -534,6 +540,11 @@
         self.assertTrue(model.both_taken(4, {"fence"}))
         self.assertTrue(model.both_taken(4, {"step"}))
 
+    def test_the_bound_holds_at_every_interleaving_of_two_drivers_by_the_places_alone(self):
+        self.assertEqual(model.most_out(2, {"places"}), 2)
+        self.assertEqual(model.most_out(2, {"step", "places", "one batch"}), 1)
+        self.assertEqual(model.most_out(2, {"step"}), 3)
+
     def test_the_model_has_the_table_of_the_code(self):
         self.assertEqual(set(NEXT), {each for pair in model.MOVES for each in pair})
         for was, to in model.MOVES:
