--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -515,6 +515,7 @@
     def test_an_end_that_is_not_true_is_noticed(self):
         for owner, name, lie in ((Driver, "_is_new", lambda driver, release, thing, parts: release.forward),
                                  (Driver, "_came", lambda *words: True),
+                                 (Driver, "_strays", lambda *words: False),
                                  (Fitting, "version", lambda *words: ""),
                                  (Driver, "_gated", lambda driver, *words: setattr(driver, "why", ""))):
             self.enterContext(unittest.mock.patch.object(owner, name, lie))
