Keep what a running process was started from; write down what was measured of releases

Cause, read again: once a release is over, the copy that an undone instance still runs from was forgotten after a minute, and a process that loads a module late would have failed; a halted release went on saying what it had waited for.

--- a/oakkeel/agent/agent.py
+++ b/oakkeel/agent/agent.py
@@ -189,9 +189,10 @@
         self.turn()
         if self.versions:
             self.versions.prepare()
-            if time.monotonic_ns() - self.dropped_at > DROP:
+            alive = list(self.alive)
+            if time.monotonic_ns() - self.dropped_at > DROP and all(each.report for each in alive):
                 self.dropped_at = time.monotonic_ns()
-                self.versions.drop()
+                self.versions.drop({each.ran for each in alive})
 
     def _ready(self) -> None:
         """Copies for a release are made, or can't be: told with the next poll."""
--- a/oakkeel/agent/versions.py
+++ b/oakkeel/agent/versions.py
@@ -116,11 +116,12 @@
             return config
         return merged(config, read_json(self.contents.path(content.patch)))
 
-    def drop(self) -> None:
-        """Forget what no release and no instance needs."""
+    def drop(self, running: set[str]) -> None:
+        """Forget what no release and no instance needs; `running`: what processes were started from. One that
+        goes on from a copy may still read from it."""
         if self.tasks or self.fitting.release:
             return
-        if dropped := self.contents.drop_but(self.fitting.needed()):
+        if dropped := self.contents.drop_but(self.fitting.needed() | running):
             self.log.say("versions are dropped", versions=",".join(dropped))
 
     def close(self) -> None:
--- a/oakkeel/rollout/driver.py
+++ b/oakkeel/rollout/driver.py
@@ -179,6 +179,7 @@
         if release.now:
             return self._finish_batch(now, release, gate)
         if release.state not in ("running", "undoing"):
+            self.why = ""
             return None
         end = "old" if release.back else "new"
         left = [thing for thing, part in release.parts.items() if part.state != end
--- a/tests/test_rollout_rig.py
+++ b/tests/test_rollout_rig.py
@@ -17,6 +17,7 @@
 from oakkeel.rollout.commands import Pace, What
 from oakkeel.standins.below import Stood
 from oakkeel.standins.site import free_port
+from oakkeel.store.contents import Contents
 from tests.test_rig import HOSTS, RigStory
 
 SECOND = 1_000_000_000
@@ -184,6 +185,19 @@
         await self.rig.all_serve()
         self.assertNotIn(what.version, runs_by_journals(self.folder, self.hosts).values())
 
+    async def test_what_a_process_was_started_from_is_kept_though_no_release_needs_it(self):
+        what = self.program("bad", "worse")
+        await self.begin(what, ["n4a"], back=True, control=False)
+        await self.over("undone")
+        await self.rig.all_serve()
+        runs = runs_by_journals(self.folder, self.hosts)["n4a"]
+        self.assertNotIn(runs, ("", what.version))  # the copy of what ran before
+        [host] = [host for host, names in self.hosts.items() if "n4a" in names]
+        folder = os.path.join(self.folder, host, "versions")
+        self.assertIsNotNone(Contents(folder).find(runs))
+        dropped = Contents(folder).drop_but({runs})
+        self.assertEqual((dropped, Contents(folder).find(runs) is None), ([what.version], False))
+
     async def test_the_copy_is_run_and_not_what_lies_at_the_path_by_then(self):
         what = self.program("v2")
         await self.begin(what, ["n4a", "n5a"], control=False)
