--- a/oakkeel/rollout/gates.py
+++ b/oakkeel/rollout/gates.py
@@ -148,8 +148,10 @@
             return
         found, state = self.stretch, self.state
         none = Sums()
-        for age, test in (("warm", state.warm), ("cold", state.cold)):
-            test.look(found.benefit.get(("old", age), none), found.benefit.get(("new", age), none), 0.05)
+        # Too small a first guess of the variance halts good ones in their first second: cold ones vary.
+        for age, test, guess in (("warm", state.warm, 0.1), ("cold", state.cold, 0.25)):
+            old, new = found.benefit.get(("old", age), none), found.benefit.get(("new", age), none)
+            test.look(old, new, guess)
         for group in {group for _, group in found.times}:
             old, new = found.times.get(("old", group), none), found.times.get(("new", group), none)
             if old.count and new.count:
