Gate denials of a release as well; drop what nothing read

Change: rollout/gates.py compares the part that is denied over the same seconds; a story; Seen.told_age and Gate.since were read by nothing.

--- a/measure/plan.py
+++ b/measure/plan.py
@@ -38,7 +38,7 @@
     for label, most, out_share in (("one", 1, 0.0), ("as many as may be", 500, 0.0),
                                    ("a tenth out", 500, 0.1)):
         out = Out(layout)
-        seen = {name: Seen(name, "serving", 1, "", 0, 0, 0.3) for name in names}
+        seen = {name: Seen(name, "serving", 1, "", 0, 0.3) for name in names}
         for name in random.sample(names, int(count * out_share)):
             out.put(name, "does not serve")
             seen[name].phase = "failing"
--- a/oakkeel/rollout/driver.py
+++ b/oakkeel/rollout/driver.py
@@ -75,7 +75,7 @@
                 continue
             before = known.version if known else run.version
             self.seen[run.name] = Seen(run.name, run.phase, run.generation, run.version or
-                                       (before if run.age < 0 else ""), host.echo, run.age, run.load,
+                                       (before if run.age < 0 else ""), host.echo, run.load,
                                        run.resting)
             if release:
                 self._measure(now, release, poll.life, run, before)
--- a/oakkeel/rollout/gates.py
+++ b/oakkeel/rollout/gates.py
@@ -53,6 +53,7 @@
 
     warm: Difference = msgspec.field(default_factory=Difference)
     cold: Difference = msgspec.field(default_factory=Difference)
+    denied: Difference = msgspec.field(default_factory=Difference)  # parts of the warm ones' exchanges
     slower: dict[str, Difference] = {}
     growth: Difference = msgspec.field(default_factory=Difference)
     deaths: Events = msgspec.field(default_factory=Events)
@@ -75,6 +76,7 @@
     """What came since the last comparison, by arm and class of age."""
 
     benefit: dict[tuple[str, str], Sums] = field(default_factory=dict)
+    denied: dict[str, Sums] = field(default_factory=dict)
     times: dict[tuple[str, str], Sums] = field(default_factory=dict)
     growth: dict[str, Sums] = field(default_factory=dict)
 
@@ -91,7 +93,6 @@
             self.state = State()
         self.known: dict[str, Known] = {}
         self.stretch, self.stretch_at = Stretch(), now
-        self.since = self.count()  # exchanges of the new when the last batch came up
 
     def kept(self) -> bytes:
         return msgspec.msgpack.encode(self.state)
@@ -115,6 +116,8 @@
             more = figures.benefit.less(known.figures.benefit)
             self.stretch.benefit.setdefault((arm, age), Sums()).add(more)
             if not cold:
+                denied = max(0.0, figures.denied - known.figures.denied)
+                self.stretch.denied.setdefault(arm, Sums()).add(Sums(more.count, denied, denied))
                 for group, sums in list(figures.times.items())[:MOST_GROUPS]:
                     was = known.figures.times.get(group, Sums())
                     self.stretch.times.setdefault((arm, group), Sums()).add(sums.less(was))
@@ -152,6 +155,8 @@
         for age, test, guess in (("warm", state.warm, 0.1), ("cold", state.cold, 0.25)):
             old, new = found.benefit.get(("old", age), none), found.benefit.get(("new", age), none)
             test.look(old, new, guess)
+        denied_old, denied_new = found.denied.get("old", none), found.denied.get("new", none)
+        state.denied.look(_turned(denied_old), _turned(denied_new), 0.1)
         for group in {group for _, group in found.times}:
             old, new = found.times.get(("old", group), none), found.times.get(("new", group), none)
             if old.count and new.count:
@@ -171,6 +176,8 @@
         scale = self.margin * max(full, 1e-6)
         logs = {"benefit": state.warm.worse(0.25 * scale, scale) if _some(state.warm) else 0.0,
                 "benefit while cold": state.cold.worse(0.5 * scale, 4 * scale) if _some(state.cold) else 0.0,
+                "denials": state.denied.worse(0.25 * self.margin, self.margin) if _some(state.denied)
+                else 0.0,
                 "deaths": state.deaths.worse(),
                 "memory": state.growth.worse(GROWTH_BORNE, 4 * GROWTH_BORNE)}
         slower = [test.worse(0.05, 0.2) for test in state.slower.values() if _some(test)]
@@ -200,6 +207,9 @@
         if worst == "memory":
             return (f"memory grows {-state.growth.new.mean:.0f} KB a second, the old's"
                     f" {-state.growth.old.mean:.0f}")
+        if worst == "denials":
+            return (f"{100 * -state.denied.new.mean:.1f} % are denied, of the old's"
+                    f" {100 * -state.denied.old.mean:.1f} %")
         if worst == "time":
             group = max(state.slower, key=lambda name: state.slower[name].loss)
             return f"{group} takes {100 * math.expm1(state.slower[group].loss):.1f} % longer"
--- a/oakkeel/rollout/plan.py
+++ b/oakkeel/rollout/plan.py
@@ -32,7 +32,6 @@
     generation: int = 0
     version: str = ""
     at: int = -(1 << 62)  # it is no older than that, by the driver's clock
-    told_age: int = 0  # of the node's own report, when its agent told
     load: float = 0.0
     resting: bool = False
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -117,6 +117,18 @@
         self.assertIs(verdict.answer, Answer.WORSE)
         self.assertIn("0.9", verdict.why)
 
+    def test_one_that_denies_more_halts_though_it_brings_as_much(self):
+        gate = Gate(0, b"", 0.02)
+        for second in range(60):
+            count = 100.0 * second
+            for thing, arm, part in (("new", "new", 0.1), ("old", "old", 0.01)):
+                figures = Figures(Sums(count, count * 0.9, count * 0.9), count * part)
+                gate.heard(second * SECOND, thing, arm, arm, 1, False, figures)
+            gate.look(second * SECOND)
+        verdict = gate.verdict(gate.full())
+        self.assertIs(verdict.answer, Answer.WORSE)
+        self.assertIn("10.0 % are denied", verdict.why)
+
     def test_one_that_leaks_and_one_that_is_worse_while_cold_are_told_as_such(self):
         gate = Gate(0, b"", 0.02)
         self.feed(gate, 120, leak=2000.0)
