Rename to standard terms: read buffer, events, result cache, exchange handler

Intake is ReadBuffer, News is Event, node/kept.py is node/results.py with ResultCache, node/life.py is node/handler.py with ExchangeHandler.

--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -9,11 +9,11 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from oakkeel.bounds import MS, SECOND, Bounds
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Outcome
 from oakkeel.lines import LineParser
 from oakkeel.log import Log
-from oakkeel.streams import BufferPool, Intake, Malformed, connect, send
+from oakkeel.streams import BufferPool, Malformed, ReadBuffer, connect, send
 
 WITH_BODY = frozenset({(1, b"DATA")})
 REPLIES = {
@@ -41,7 +41,7 @@
         self.link.used = time.monotonic_ns()
         self.ex.call = None
         if outcome is not None:
-            self.ex.tell(News.REPLY, outcome, reply, self.link.used - self.placed)
+            self.ex.tell(Event.REPLY, outcome, reply, self.link.used - self.placed)
         self.link.leave()
 
     def give_up(self, outcome: Outcome | None = Outcome.GIVEN_UP) -> None:
@@ -65,7 +65,7 @@
         self.surplus = 0  # replies that nobody waited for
         self.used = time.monotonic_ns()
         self.stream = IOStream(socket.socket(), max_write_buffer_size=bounds.backlog)
-        self.intake = Intake(pool)
+        self.read_buffer = ReadBuffer(pool)
         self.early: dict[bytes, bytes] = {}  # calls placed while it connects, by exchange
         self.partial: asyncio.TimerHandle | None = None  # ends a link whose reply does not
         self.task = asyncio.ensure_future(self._serve())
@@ -77,9 +77,9 @@
             for line in self.early.values():
                 self.write(line)
             self.early.clear()
-            parser = LineParser(self.intake, WITH_BODY, self.bounds.words)
+            parser = LineParser(self.read_buffer, WITH_BODY, self.bounds.words)
             while True:
-                await self.intake.fill(self.stream)
+                await self.read_buffer.fill(self.stream)
                 taken = False
                 for words, body in parser.messages():
                     self._reply(words, body)
@@ -92,7 +92,7 @@
             self.log.say("the catalogue's link can't be read", error=str(error))
         finally:
             self.stream.close()
-            self.intake.close()
+            self.read_buffer.close()
             if self.partial:
                 self.partial.cancel()
             # One that was never connected carried nothing; one that broke proves nothing.
@@ -114,7 +114,7 @@
 
     def _watch_partial(self, taken: bool) -> None:
         """A reply that began must end soon, or its length was wrong and no other can follow it."""
-        whole = self.intake.start == self.intake.end
+        whole = self.read_buffer.start == self.read_buffer.end
         if self.partial and (whole or taken):
             self.partial.cancel()
             self.partial = None
@@ -148,7 +148,7 @@
         """Place the call that its run waits for; a REPLY tells how it ended."""
         link = self._link(ex)
         if link is None:
-            return ex.tell(News.REPLY, Outcome.UNREACHED, b"", 0)
+            return ex.tell(Event.REPLY, Outcome.UNREACHED, b"", 0)
         ex.call = link.calls[ex.ident] = Call(ex, link, until)
         ex.call_links.append(link)
         wait_ms = max(1, (until - ex.call.placed) // MS)
--- a/oakkeel/control/listener.py
+++ b/oakkeel/control/listener.py
@@ -26,7 +26,7 @@
     read_wish,
 )
 from oakkeel.log import Log, fault
-from oakkeel.streams import BufferPool, Intake, Malformed, send
+from oakkeel.streams import BufferPool, Malformed, ReadBuffer, send
 
 MOST_CLIENTS = 25  # in one answer, so that it is no longer than a line may be
 
@@ -93,21 +93,21 @@
 
     def __init__(self, stream: IOStream, listener: ControlListener) -> None:
         self.stream, self.listener = stream, listener
-        self.intake = Intake(listener.pool)
+        self.read_buffer = ReadBuffer(listener.pool)
 
     async def serve(self) -> None:
-        bounds, intake = self.listener.bounds, self.intake
+        bounds, read_buffer = self.listener.bounds, self.read_buffer
         try:
             while True:
                 began = time.monotonic_ns()
-                if intake.start == intake.end:
-                    await intake.fill(self.stream)  # one with nothing to say may stay
+                if read_buffer.start == read_buffer.end:
+                    await read_buffer.fill(self.stream)  # one with nothing to say may stay
                 else:
-                    await asyncio.wait_for(intake.fill(self.stream), bounds.control_half / SECOND)
+                    await asyncio.wait_for(read_buffer.fill(self.stream), bounds.control_half / SECOND)
                 spent = -time.thread_time_ns()
-                while (at := intake.buffer.find(b"\n", intake.start, intake.end)) >= 0:
-                    line = bytes(intake.buffer[intake.start : at])
-                    intake.start = at + 1
+                while (at := read_buffer.buffer.find(b"\n", read_buffer.start, read_buffer.end)) >= 0:
+                    line = bytes(read_buffer.buffer[read_buffer.start : at])
+                    read_buffer.start = at + 1
                     written = send(self.stream, encode(self._answer(line)))
                     if written is None:
                         return
@@ -127,7 +127,7 @@
             pass
         finally:
             self.stream.close()
-            intake.close()
+            read_buffer.close()
             self.listener.gone(self)
 
     def _answer(self, line: bytes) -> Answer:
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -14,7 +14,7 @@
 from oakkeel.dispatch.resp import arrays
 from oakkeel.exchange import LiveExchange
 from oakkeel.log import Log
-from oakkeel.streams import BufferPool, Intake, Malformed, send
+from oakkeel.streams import BufferPool, Malformed, ReadBuffer, send
 
 
 class Front(Protocol):
@@ -36,7 +36,7 @@
                  heard: Callable[[Connection], None]) -> None:
         self.stream, self.bounds, self.front, self.log = stream, bounds, front, log
         self.heard = heard  # called with the connection after each array, and whenever it gets idle
-        self.intake = Intake(pool)
+        self.read_buffer = ReadBuffer(pool)
         self.open: dict[int, LiveExchange] = {}
         self.worked = False  # an exchange came on it
         self.leaving = False  # `0 last` is sent
@@ -50,7 +50,7 @@
         try:
             while True:
                 read_at = time.monotonic_ns()
-                await self.intake.fill(self.stream)
+                await self.read_buffer.fill(self.stream)
                 spent = -time.thread_time_ns()
                 self._parse()
                 spent += time.thread_time_ns()
@@ -69,7 +69,7 @@
             pass
         finally:
             self.stream.close()
-            self.intake.close()
+            self.read_buffer.close()
             for ex in list(self.open.values()):
                 self._drop(ex)
 
@@ -80,12 +80,12 @@
 
     def _parse(self) -> None:
         taken = False
-        for words in arrays(self.intake, self.bounds.words):
+        for words in arrays(self.read_buffer, self.bounds.words):
             self._take(words)
             taken = True
             if self.faults >= self.bounds.faults:
                 raise Malformed("too many exchanges that can't be used")
-        if self.intake.start == self.intake.end:
+        if self.read_buffer.start == self.read_buffer.end:
             self.awaited = 0
         elif taken or not self.awaited:
             self.awaited = time.monotonic_ns()
--- a/oakkeel/dispatch/resp.py
+++ b/oakkeel/dispatch/resp.py
@@ -5,50 +5,50 @@
 from collections.abc import Iterator
 
 from oakkeel.lines import number
-from oakkeel.streams import Intake, Malformed
+from oakkeel.streams import Malformed, ReadBuffer
 
 
-def arrays(intake: Intake, most_words: int) -> Iterator[list[bytes]]:
-    """The whole arrays that the intake holds; what is not whole yet stays in it."""
-    while (found := _array(intake, most_words)) is not None:
-        words, intake.start = found
+def arrays(read_buffer: ReadBuffer, most_words: int) -> Iterator[list[bytes]]:
+    """The whole arrays that the read_buffer holds; what is not whole yet stays in it."""
+    while (found := _array(read_buffer, most_words)) is not None:
+        words, read_buffer.start = found
         yield words
 
 
-def _array(intake: Intake, most_words: int) -> tuple[list[bytes], int] | None:
-    if (head := _length(intake, intake.start, b"*")) is None:
+def _array(read_buffer: ReadBuffer, most_words: int) -> tuple[list[bytes], int] | None:
+    if (head := _length(read_buffer, read_buffer.start, b"*")) is None:
         return None
     count, at = head
     if not 1 <= count <= most_words:
         raise Malformed(f"an array of {count} words")
     words = []
     for _ in range(count):
-        if (head := _length(intake, at, b"$")) is None:
+        if (head := _length(read_buffer, at, b"$")) is None:
             return None
         length, at = head
-        if at + length + 2 - intake.start > len(intake.buffer):
+        if at + length + 2 - read_buffer.start > len(read_buffer.buffer):
             raise Malformed(f"a word of {length} bytes")
-        if at + length + 2 > intake.end:
+        if at + length + 2 > read_buffer.end:
             return None
-        words.append(bytes(intake.buffer[at : at + length]))
+        words.append(bytes(read_buffer.buffer[at : at + length]))
         at += length + 2
-        if intake.buffer[at - 2 : at] != b"\r\n":
+        if read_buffer.buffer[at - 2 : at] != b"\r\n":
             raise Malformed("no end behind a word")
     return words, at
 
 
-def _length(intake: Intake, at: int, sign: bytes) -> tuple[int, int] | None:
+def _length(read_buffer: ReadBuffer, at: int, sign: bytes) -> tuple[int, int] | None:
     """The number behind a sign, and where its line ends."""
-    if at == intake.end:
+    if at == read_buffer.end:
         return None
-    if intake.buffer[at : at + 1] != sign:
-        raise Malformed(f"{bytes(intake.buffer[at : at + 1])!r} in place of {sign!r}")
-    end = intake.buffer.find(b"\r\n", at, min(intake.end, at + 16))
+    if read_buffer.buffer[at : at + 1] != sign:
+        raise Malformed(f"{bytes(read_buffer.buffer[at : at + 1])!r} in place of {sign!r}")
+    end = read_buffer.buffer.find(b"\r\n", at, min(read_buffer.end, at + 16))
     if end < 0:
-        if intake.end - at >= 16:
+        if read_buffer.end - at >= 16:
             raise Malformed("a length without end")
         return None
-    return number(bytes(intake.buffer[at + 1 : end])), end + 2
+    return number(bytes(read_buffer.buffer[at + 1 : end])), end + 2
 
 
 def encode(*words: bytes) -> bytes:
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -13,11 +13,11 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from oakkeel.bounds import SECOND, Bounds
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Outcome
 from oakkeel.lines import LineParser, milliseconds, number
 from oakkeel.log import Log, fault
-from oakkeel.streams import BufferPool, Intake, Malformed, connect, send
+from oakkeel.streams import BufferPool, Malformed, ReadBuffer, connect, send
 
 WITH_BODY = frozenset({(0, b"DONE"), (0, b"NEED")})
 ENDS = {
@@ -92,16 +92,16 @@
         while True:
             tried = time.monotonic_ns()
             stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
-            intake = Intake(self.pool)
+            read_buffer = ReadBuffer(self.pool)
             try:
                 await connect(stream, address := self.address)
                 if address != self.address:
                     raise StreamClosedError  # told of another engine meanwhile: this one would never answer
                 self.stream = stream
                 send(stream, b"ATTACH %d\r\n" % self.heard)
-                parser = LineParser(intake, WITH_BODY, self.bounds.words)
+                parser = LineParser(read_buffer, WITH_BODY, self.bounds.words)
                 while True:
-                    await intake.fill(stream)
+                    await read_buffer.fill(stream)
                     for words, body in parser.messages():
                         self._notice(words, body)
                     await asyncio.sleep(0)  # one that always has more to say must not keep the loop
@@ -113,7 +113,7 @@
                 self.log.say("the engine's link failed", error=fault(error))
             finally:
                 stream.close()
-                intake.close()
+                read_buffer.close()
                 if self.stream is stream and not self.swap:
                     self.losses += 1
                     self.log.say("the engine's link is lost")
@@ -216,7 +216,7 @@
                     self._done(words[2], ENDS[words[3]], milliseconds(words[4]), body)
                 elif verb == b"NEED" and (ex := self.runs.get(words[2])):
                     ex.heard = numbered
-                    ex.tell(News.NEED, numbered, body)
+                    ex.tell(Event.NEED, numbered, body)
             elif verb == b"NO":
                 self._not_carried_out(words[1], words[2])
             else:
@@ -228,7 +228,7 @@
         if ex := self.runs.pop(ident, None):
             ex.in_engine = False
             ex.ran = outcome is not Outcome.MOOT
-            ex.tell(News.DONE, outcome, result, spent)
+            ex.tell(Event.DONE, outcome, result, spent)
 
     def _not_carried_out(self, verb: bytes, ident: bytes) -> None:
         """A run that the engine does not know is over; of the other commands nothing hangs on."""
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -1,4 +1,4 @@
-"""An exchange as a node on sockets holds it: what the decisions keep, where it came from, and its news."""
+"""An exchange as a node on sockets holds it: what the decisions keep, where it came from, and its events."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from oakkeel.interface import Exchange
 
 
-class News(Enum):
+class Event(Enum):
     """What the life of an exchange can wait for."""
 
     # The verdicts of the decisions.
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True, eq=False, kw_only=True)
 class LiveExchange(Exchange):
-    """One exchange with its place at the door; its life reads the news in the order in which it came."""
+    """One exchange with its place at the door; its handler reads the events in the order in which it came."""
 
     ident: bytes
     tag: int
@@ -49,17 +49,17 @@
     unknown: bool = False  # the engine knows no such exchange
     call_links: list = field(default_factory=list)  # on which calls of its were placed
     earlier: Any = None  # what is kept of the exchange that it repeats
-    kept_as: Any = None  # what is kept of itself
-    news: deque = field(default_factory=deque)
+    cached: Any = None  # what is kept of itself
+    events: deque = field(default_factory=deque)
     waiter: asyncio.Future | None = None
 
-    def tell(self, what: News, *words: Any) -> None:
-        self.news.append((what, *words))
+    def tell(self, what: Event, *words: Any) -> None:
+        self.events.append((what, *words))
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
 
     async def hear(self) -> tuple:
-        while not self.news:
+        while not self.events:
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
-        return self.news.popleft()
+        return self.events.popleft()
--- a/oakkeel/lines.py
+++ b/oakkeel/lines.py
@@ -5,33 +5,33 @@
 from collections.abc import Iterator
 
 from oakkeel.bounds import MS
-from oakkeel.streams import Intake, Malformed
+from oakkeel.streams import Malformed, ReadBuffer
 
 
 class LineParser:
-    """Takes whole messages out of an intake: the words of the line, and the bytes that follow it."""
+    """Takes whole messages out of a read buffer: the words of the line, and the bytes that follow it."""
 
-    def __init__(self, intake: Intake, with_body: frozenset[tuple[int, bytes]], most_words: int) -> None:
+    def __init__(self, read_buffer: ReadBuffer, with_body: frozenset[tuple[int, bytes]], most_words: int) -> None:
         """`with_body` holds place and word of the lines whose last word is a length."""
-        self.intake, self.with_body, self.most_words = intake, with_body, most_words
+        self.read_buffer, self.with_body, self.most_words = read_buffer, with_body, most_words
 
     def messages(self) -> Iterator[tuple[list[bytes], bytes]]:
-        intake = self.intake
-        while (at := intake.buffer.find(b"\r\n", intake.start, intake.end)) >= 0:
-            words = bytes(intake.buffer[intake.start : at]).split(None, self.most_words)
+        read_buffer = self.read_buffer
+        while (at := read_buffer.buffer.find(b"\r\n", read_buffer.start, read_buffer.end)) >= 0:
+            words = bytes(read_buffer.buffer[read_buffer.start : at]).split(None, self.most_words)
             if not words:
                 raise Malformed("a line of no words")
             after, body = at + 2, b""
             if any((place, word) in self.with_body for place, word in enumerate(words[:2])):
                 length = number(words[-1])
-                if after + length + 2 - intake.start > len(intake.buffer):
+                if after + length + 2 - read_buffer.start > len(read_buffer.buffer):
                     raise Malformed(f"a body of {length} bytes")
-                if after + length + 2 > intake.end:
+                if after + length + 2 > read_buffer.end:
                     return
-                body, after = bytes(intake.buffer[after : after + length]), after + length + 2
-                if intake.buffer[after - 2 : after] != b"\r\n":
+                body, after = bytes(read_buffer.buffer[after : after + length]), after + length + 2
+                if read_buffer.buffer[after - 2 : after] != b"\r\n":
                     raise Malformed("no end behind a body")
-            intake.start = after
+            read_buffer.start = after
             yield words, body
 
 
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -13,14 +13,14 @@
 from oakkeel.dispatch.codec import ExchangeReader
 from oakkeel.dispatch.listener import Listener
 from oakkeel.engine.link import EngineLink
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.limits import LimitsError
 from oakkeel.log import Log
 from oakkeel.node.drain import Drain
+from oakkeel.node.handler import ExchangeHandler
 from oakkeel.node.host import NodeHost
-from oakkeel.node.kept import KeptExchanges
-from oakkeel.node.life import Lives
 from oakkeel.node.measures import Measures
+from oakkeel.node.results import ResultCache
 from oakkeel.node.start import Start, read_start
 from oakkeel.streams import BufferPool
 
@@ -37,14 +37,14 @@
         buffers = 2 * (bounds.connections + links)  # some end while others begin
         self.pool = BufferPool(bounds.buffer_size, buffers)
         self.reader: ExchangeReader | None = None
-        self.lives: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
+        self.open: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
         self.done = asyncio.Event()
         self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
         self.reports = Reports(start.lookup, start.name, bounds)
         self.engine = EngineLink(start.engine, self.pool, bounds, self.log, self._engine_up)
         self.catalogue = Catalogue(start.catalogue, self.pool, bounds, self.log)
-        self.kept = KeptExchanges(bounds, start.limits.fresh)
-        self.host = NodeHost(start, self.engine, self.listener, self.reports, self.kept, self.measures,
+        self.results = ResultCache(bounds, start.limits.fresh)
+        self.host = NodeHost(start, self.engine, self.listener, self.reports, self.results, self.measures,
                              self.log)
         self.draining = Drain(self, start.limits.drain_grace, bounds.stop_after)
         self.fairly = None
@@ -57,7 +57,8 @@
             from oakkeel.node.controlled import open_control  # it brings libraries that a plain node spares
 
             self.control = open_control(self)
-        self.life = Lives(self.host, self.engine, self.catalogue, self.kept, self.measures, self.log)
+        self.handler = ExchangeHandler(self.host, self.engine, self.catalogue, self.results, self.measures,
+                                       self.log)
 
     async def run(self, told_again: bool = False) -> None:
         """From the start to the end of the drain; `told_again`: a SIGHUP came before there was a loop."""
@@ -120,18 +121,18 @@
 
     def arrived(self, ex: LiveExchange) -> None:
         self.measures.read += 1
-        task = asyncio.ensure_future(self.life.live(ex))
-        self.lives[ex.ident] = task
-        task.add_done_callback(lambda _: self.lives.pop(ex.ident))
+        task = asyncio.ensure_future(self.handler.handle(ex))
+        self.open[ex.ident] = task
+        task.add_done_callback(lambda _: self.open.pop(ex.ident))
 
     def holds(self, ident: bytes) -> bool:
         """Whether an exchange of that id is open, or its run is."""
-        return ident in self.lives
+        return ident in self.open
 
     def gone(self, ex: LiveExchange) -> None:
         if not ex.answered:
             ex.answered = True  # nothing is owed any more
-            ex.tell(News.GONE)
+            ex.tell(Event.GONE)
 
     def healthy(self) -> bool:
         return self.host.good and self.host.begun and not self.draining
@@ -150,4 +151,4 @@
         asyncio.get_running_loop().call_later(self.bounds.measures / SECOND, self._measure)
 
     def _measured(self) -> dict[str, object]:
-        return self.measures.facts(len(self.listener.connections), len(self.lives), self.engine.losses)
+        return self.measures.facts(len(self.listener.connections), len(self.open), self.engine.losses)
--- a/oakkeel/node/controlled.py
+++ b/oakkeel/node/controlled.py
@@ -40,7 +40,7 @@
             tag=tag, name=node.start.name, pid=os.getpid(), generation=node.start.generation,
             state=self._state(now), address=f"{host}:{port}", uptime=now - self.started,
             resident_kb=resident() // 1024, descriptors=descriptors(),
-            connections=len(node.listener.connections), owes=len(node.lives), cpu=time.process_time_ns(),
+            connections=len(node.listener.connections), owes=len(node.open), cpu=time.process_time_ns(),
             completed=node.measures.total.get(codec.COMPLETED, 0),
             denied=node.measures.total.get(codec.DENIED, 0),
             terminated=node.measures.total.get(codec.TERMINATED, 0),
--- a/oakkeel/node/life.py
+++ b/oakkeel/node/handler.py
@@ -7,60 +7,60 @@
 from oakkeel.catalogue.links import Catalogue
 from oakkeel.dispatch import codec
 from oakkeel.engine.link import EngineLink
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Outcome, State
 from oakkeel.log import Log, fault
 from oakkeel.node.host import NodeHost
-from oakkeel.node.kept import KeptExchanges
 from oakkeel.node.measures import Measures
+from oakkeel.node.results import ResultCache
 
 OVER = (None,)
 
 
-class Lives:
-    def __init__(self, host: NodeHost, engine: EngineLink, catalogue: Catalogue, kept: KeptExchanges,
+class ExchangeHandler:
+    def __init__(self, host: NodeHost, engine: EngineLink, catalogue: Catalogue, results: ResultCache,
                  measures: Measures, log: Log) -> None:
-        self.host, self.engine, self.catalogue, self.kept = host, engine, catalogue, kept
+        self.host, self.engine, self.catalogue, self.results = host, engine, catalogue, results
         self.measures, self.log = measures, log
 
-    async def live(self, ex: LiveExchange) -> None:
+    async def handle(self, ex: LiveExchange) -> None:
         """Read, decided, run, its calls made, answered once."""
         keel, engine, tell = self.host.keel, self.engine, self.host.tell
         try:
-            ex.repeats = self.kept.find(ex, time.monotonic_ns())
-            if ex.key and ex.group.once and not ex.repeats and self.kept.full(time.monotonic_ns()):
+            ex.repeats = self.results.find(ex, time.monotonic_ns())
+            if ex.key and ex.group.once and not ex.repeats and self.results.full(time.monotonic_ns()):
                 return self._answer(ex, codec.DENIED)  # its repeats could not be told from it
             tell(keel.arrive, ex)
             what, *words = await self._next(ex)
-            if what is News.SHARE:
-                self.kept.share(ex)
+            if what is Event.SHARE:
+                self.results.share(ex)
                 what, *words = await self._next(ex)
-            if what is News.SHARED:
+            if what is Event.SHARED:
                 outcome, result = words
                 tell(keel.run_done, ex, outcome, 0)
                 return self._answer_run(ex, outcome, result)
-            if what is not News.RUN:
+            if what is not Event.RUN:
                 return  # denied, or its caller is gone
             engine.run(ex)
             what, *words = await self._next(ex)
-            while what is News.NEED:
+            while what is Event.NEED:
                 notice, call_body = words
                 tell(keel.at_call, ex)
                 what, *words = await self._next(ex)
-                while what is News.CALL:
+                while what is Event.CALL:
                     self.catalogue.fetch(ex, words[0], call_body)
                     what, *words = await self._next(ex)
-                    if what is News.REPLY:
+                    if what is Event.REPLY:
                         outcome, reply, spent = words
                         self.measures.count_call(outcome.value)
                         tell(keel.call_done, ex, outcome, spent)
                         if outcome is Outcome.COMPLETED and ex.state is State.RUNNING:
                             engine.feed(ex, reply)
                         what, *words = await self._next(ex)
-                if what is News.LEAVE_OUT:
+                if what is Event.LEAVE_OUT:
                     engine.skip(ex, notice)
                     what, *words = await self._next(ex)
-            if what is not News.DONE:
+            if what is not Event.DONE:
                 raise RuntimeError(f"{what} in state {ex.state.name}")
             self._run_over(ex, *words)
         except Exception as error:  # it is answered and the node lives on
@@ -69,26 +69,26 @@
         finally:
             self.catalogue.quit(ex)
             if ex.ran:
-                self.kept.ended(ex, Outcome.ERROR, b"")
+                self.results.ended(ex, Outcome.ERROR, b"")
             else:
-                self.kept.forget(ex)  # a repeat of what went unrun may run
+                self.results.forget(ex)  # a repeat of what went unrun may run
 
     async def _next(self, ex: LiveExchange) -> tuple:
-        """The next news, after an early answer is given, a stop passed on or the caller's end told."""
+        """The next event, after an early answer is given, a stop passed on or the caller's end told."""
         while True:
-            if ex.state is State.OVER and not ex.in_engine and not ex.news:
+            if ex.state is State.OVER and not ex.in_engine and not ex.events:
                 return OVER
-            what, *words = news = await ex.hear()
-            if what is News.DENY:
+            what, *words = event = await ex.hear()
+            if what is Event.DENY:
                 self._answer(ex, codec.DENIED, b"", *words)
-            elif what is News.TERMINATE:
+            elif what is Event.TERMINATE:
                 self._answer(ex, codec.TERMINATED)
-            elif what is News.STOP:
+            elif what is Event.STOP:
                 self.engine.halt(ex)
-            elif what is News.GONE:
+            elif what is Event.GONE:
                 self.host.tell(self.host.keel.gone, ex)
             else:
-                return news
+                return event
             if ex.answered:
                 self.catalogue.quit(ex)  # nobody waits for what its call brings
 
@@ -100,7 +100,7 @@
         if ex.unknown:
             ex.connection.fault("the engine knows no such exchange")
         if ex.ran:
-            self.kept.ended(ex, told, result)
+            self.results.ended(ex, told, result)
         self._answer_run(ex, outcome, result)
 
     def _answer_run(self, ex: LiveExchange, outcome: Outcome, result: bytes) -> None:
@@ -124,11 +124,11 @@
         self._answer(ex, codec.TERMINATED)
         try:
             self.host.tell(self.host.keel.gone, ex)
-            while ex.in_engine or ex.news:
+            while ex.in_engine or ex.events:
                 what, *words = await ex.hear()
-                if what is News.STOP:
+                if what is Event.STOP:
                     self.engine.halt(ex)
-                elif what is News.DONE:
+                elif what is Event.DONE:
                     self._run_over(ex, *words)
         except Exception as error:
             self.log.say("winding up failed", error=fault(error))
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -1,4 +1,4 @@
-"""The `Host` of one node's decisions: verdicts go to the lives of exchanges, the rest to the links."""
+"""The `Host` of one node's decisions: verdicts go to the handlers of exchanges, the rest to the links."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 from oakkeel.directory.reports import Reports
 from oakkeel.dispatch.listener import Listener
 from oakkeel.engine.link import EngineLink
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Gauges
 from oakkeel.log import Log, fault
-from oakkeel.node.kept import KeptExchanges
 from oakkeel.node.measures import Measures
+from oakkeel.node.results import ResultCache
 from oakkeel.node.start import Start
 from oakkeel.policy import Keel
 
@@ -23,8 +23,8 @@
     """Carries out what `Keel` asks, and brings it the time, the timers and the gauges."""
 
     def __init__(self, start: Start, engine: EngineLink, listener: Listener, reports: Reports,
-                 kept: KeptExchanges, measures: Measures, log: Log) -> None:
-        self.engine, self.listener, self.reports, self.kept = engine, listener, reports, kept
+                 results: ResultCache, measures: Measures, log: Log) -> None:
+        self.engine, self.listener, self.reports, self.results = engine, listener, reports, results
         self.start, self.measures, self.log = start, measures, log
         self.loop = asyncio.get_running_loop()
         self.gauges, self.gauges_at = Gauges(), 0
@@ -61,31 +61,31 @@
     # Verdicts.
 
     def run(self, ex: LiveExchange) -> None:
-        ex.tell(News.RUN)
+        ex.tell(Event.RUN)
 
     def deny(self, ex: LiveExchange, last: bool, retry_after: int) -> None:
-        ex.tell(News.DENY, last, retry_after)
+        ex.tell(Event.DENY, last, retry_after)
 
     def terminate(self, ex: LiveExchange) -> None:
-        ex.tell(News.TERMINATE)
+        ex.tell(Event.TERMINATE)
 
     def stop(self, ex: LiveExchange) -> None:
-        ex.tell(News.STOP)
+        ex.tell(Event.STOP)
 
     def call(self, ex: LiveExchange, until: int) -> None:
-        ex.tell(News.CALL, until)
+        ex.tell(Event.CALL, until)
 
     def leave_out(self, ex: LiveExchange) -> None:
-        ex.tell(News.LEAVE_OUT)
+        ex.tell(Event.LEAVE_OUT)
 
     def share(self, ex: LiveExchange) -> None:
-        ex.tell(News.SHARE)
+        ex.tell(Event.SHARE)
 
     def remember(self, ex: LiveExchange, duration: int) -> None:
-        self.kept.remember(ex, time.monotonic_ns(), duration)
+        self.results.remember(ex, time.monotonic_ns(), duration)
 
     def forget(self, ex: LiveExchange) -> None:
-        self.kept.forget(ex)
+        self.results.forget(ex)
 
     # Timers.
 
--- a/oakkeel/node/whole.py
+++ b/oakkeel/node/whole.py
@@ -21,7 +21,7 @@
     log: Log
     listener: Listener
     host: NodeHost
-    lives: dict[bytes, Task]
+    open: dict[bytes, Task]
     measures: Measures
     draining: Drain
     reader: ExchangeReader | None
--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -31,7 +31,7 @@
         self.free.append(buffer)
 
 
-class Intake:
+class ReadBuffer:
     """What was read from one stream and is not yet parsed: a leased buffer, filled behind, emptied before."""
 
     __slots__ = ("pool", "buffer", "start", "end")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,15 +12,15 @@
 from oakkeel.dispatch.listener import Listener
 from oakkeel.dispatch.resp import arrays, encode
 from oakkeel.engine.link import EngineLink
-from oakkeel.exchange import LiveExchange, News
+from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Outcome, State
 from oakkeel.limits import Pairs, flatten, read_limits
 from oakkeel.lines import LineParser
 from oakkeel.log import Log
-from oakkeel.node.kept import KeptExchanges
-from oakkeel.node.life import Lives
+from oakkeel.node.results import ResultCache
+from oakkeel.node.handler import ExchangeHandler
 from oakkeel.node.measures import Measures
-from oakkeel.streams import BufferPool, Intake, Malformed
+from oakkeel.streams import BufferPool, ReadBuffer, Malformed
 from tests.fake import GROUP, TOLD, WAIT, FakeHost, replace
 
 BOUNDS = Bounds(sockets=1024, memory=192 * 2**20, stop_after=3 * SECOND)
@@ -40,12 +40,12 @@
 
 def split(data: bytes, step: int, parse) -> list:
     """What a parser makes of bytes that come in pieces of one size."""
-    intake, found = Intake(BufferPool(512, 1)), []
+    read_buffer, found = ReadBuffer(BufferPool(512, 1)), []
     for at in range(0, len(data), step):
         piece = data[at : at + step]
-        intake.buffer[intake.end : intake.end + len(piece)] = piece
-        intake.end += len(piece)
-        found += parse(intake)
+        read_buffer.buffer[read_buffer.end : read_buffer.end + len(piece)] = piece
+        read_buffer.end += len(piece)
+        found += parse(read_buffer)
     return found
 
 
@@ -55,13 +55,13 @@
                   [b"CHECK", b"8", b""]]
         data = b"".join(encode(*words) for words in wanted)
         for step in (1, 2, 3, 7, len(data)):
-            self.assertEqual(split(data, step, lambda intake: list(arrays(intake, 16))), wanted)
+            self.assertEqual(split(data, step, lambda read_buffer: list(arrays(read_buffer, 16))), wanted)
 
     def test_what_is_no_array_is_named(self):
         for data in (b"CALL 7\r\n", b"*0\r\n", b"*99\r\n", b"*1\r\n:1\r\n", b"*1\r\n$1\r\nxyz", b"*x\r\n",
                      b"*" + b"1" * 20, b"*1\r\n$600\r\n", b"*1\r\n$-1\r\n"):
             with self.assertRaises(Malformed, msg=data):
-                split(data, len(data), lambda intake: list(arrays(intake, 16)))
+                split(data, len(data), lambda read_buffer: list(arrays(read_buffer, 16)))
 
     def test_lines_are_the_same_in_pieces_of_any_size(self):
         wanted = [
@@ -75,8 +75,8 @@
         with_body = frozenset({(0, b"DONE"), (0, b"NEED"), (1, b"DATA")})
         for step in (1, 2, 5, len(data)):
             parsers = {}
-            found = split(data, step, lambda intake: list(
-                parsers.setdefault(0, LineParser(intake, with_body, 16)).messages()))  # noqa: B023
+            found = split(data, step, lambda read_buffer: list(
+                parsers.setdefault(0, LineParser(read_buffer, with_body, 16)).messages()))  # noqa: B023
             self.assertEqual(found, wanted)
 
     def test_lines_that_cant_be_read_are_named(self):
@@ -84,7 +84,7 @@
                      b"DONE 1 x success 1 2\r\nabcd"):
             with self.assertRaises(Malformed, msg=data):
                 split(data, len(data),
-                      lambda intake: list(LineParser(intake, frozenset({(0, b"DONE")}), 16).messages()))
+                      lambda buffer: list(LineParser(buffer, frozenset({(0, b"DONE")}), 16).messages()))
 
     def test_buffers_are_used_again_and_their_number_is_bounded(self):
         pool = BufferPool(64, 1)
@@ -138,7 +138,7 @@
         self.catalogue.fetch(ex, time.monotonic_ns() + 50 * MS, b"first")
         reader, writer = await asyncio.wait_for(self.peers.get(), WAIT)
         self.assertTrue((await reader.readline()).startswith(b"FETCH"))
-        self.assertEqual((await ex.hear())[:2], (News.REPLY, Outcome.GIVEN_UP))
+        self.assertEqual((await ex.hear())[:2], (Event.REPLY, Outcome.GIVEN_UP))
         self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"second")
         again, writer_again = await asyncio.wait_for(self.peers.get(), WAIT)
         await again.readline()
@@ -146,7 +146,7 @@
         await writer.drain()
         self.assertEqual([await reader.readline() for _ in range(2)][1][:4], b"QUIT")
         writer_again.write(b"%s DATA 3\r\nnew\r\n" % ex.ident)
-        self.assertEqual((await ex.hear())[:3], (News.REPLY, Outcome.COMPLETED, b"new"))
+        self.assertEqual((await ex.hear())[:3], (Event.REPLY, Outcome.COMPLETED, b"new"))
 
     async def test_each_reply_is_the_outcome_that_it_proves(self):
         for word, outcome in ((b"LATER", Outcome.DENIED), (b"FAULT", Outcome.ERROR), (b"NOUSE", Outcome.MOOT),
@@ -369,7 +369,7 @@
 
 class KeptStories(unittest.TestCase):
     def test_a_read_is_shared_while_fresh_and_not_after(self):
-        kept, first = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s")
+        kept, first = ResultCache(BOUNDS, SECOND), exchange(mark=b"s")
         now = time.monotonic_ns()
         kept.remember(first, now, 5 * SECOND)
         self.assertTrue(kept.find(exchange(mark=b"s"), now))
@@ -379,22 +379,22 @@
         self.assertFalse(kept.find(exchange(mark=b"other"), now))
 
     def test_followers_of_one_that_is_dropped_unrun_are_told(self):
-        kept, first, follower = KeptExchanges(BOUNDS, SECOND), exchange(mark=b"s"), exchange(mark=b"s")
+        kept, first, follower = ResultCache(BOUNDS, SECOND), exchange(mark=b"s"), exchange(mark=b"s")
         kept.remember(first, 0, SECOND)
         kept.find(follower, 0)
         kept.share(follower)
         kept.forget(first)
-        self.assertEqual(follower.news.popleft()[:2], (News.SHARED, Outcome.ERROR))
+        self.assertEqual(follower.events.popleft()[:2], (Event.SHARED, Outcome.ERROR))
         self.assertFalse(kept.find(exchange(mark=b"s"), 0))
 
     def test_what_is_kept_is_bounded_and_a_key_that_must_not_run_twice_is_never_dropped(self):
         bounds = replace(BOUNDS, memory=4 * BOUNDS.kept_size * 2)  # room for two
         once = replace(GROUP, effect=FakeHost(groups=[{}]).limits.groups[0].effect.__class__.DEDUPLICATED)
-        kept = KeptExchanges(bounds, SECOND)
+        kept = ResultCache(bounds, SECOND)
         kept.remember(exchange(mark=b"a", group=once), 0, SECOND)
         kept.remember(exchange(mark=b"b"), 0, SECOND)
         kept.remember(exchange(mark=b"c", group=once), 0, SECOND)  # in place of the read
-        self.assertEqual([key for _, key in kept.kept], [b"a", b"c"])
+        self.assertEqual([key for _, key in kept.results], [b"a", b"c"])
         self.assertTrue(kept.full(SECOND // 2))
         self.assertFalse(kept.full(SECOND))
 
@@ -415,21 +415,21 @@
 
         parts = Parts()
         parts.keel = parts
-        lives = Lives(parts, parts, parts, KeptExchanges(BOUNDS, 0), Measures(), LOG)
+        handler = ExchangeHandler(parts, parts, parts, ResultCache(BOUNDS, 0), Measures(), LOG)
         for _ in range(2):
             ex = exchange(connection=parts)
-            await asyncio.wait_for(lives.live(ex), 5)
+            await asyncio.wait_for(handler.handle(ex), 5)
             self.assertIn(("answer", ex, b"fault", b"", False, 0), said)
 
-    async def test_news_come_in_order(self):
+    async def test_events_come_in_order(self):
         ex = exchange()
-        ex.tell(News.RUN)
-        ex.tell(News.STOP)
-        self.assertEqual([(await ex.hear())[0], (await ex.hear())[0]], [News.RUN, News.STOP])
+        ex.tell(Event.RUN)
+        ex.tell(Event.STOP)
+        self.assertEqual([(await ex.hear())[0], (await ex.hear())[0]], [Event.RUN, Event.STOP])
         waiting = asyncio.ensure_future(ex.hear())
         await asyncio.sleep(0)
-        ex.tell(News.GONE)
-        self.assertEqual(await waiting, (News.GONE,))
+        ex.tell(Event.GONE)
+        self.assertEqual(await waiting, (Event.GONE,))
         self.assertEqual(ex.state, State.READ)
 
 
