--- a/oakkeel/dispatch/codec.py
+++ b/oakkeel/dispatch/codec.py
@@ -18,6 +18,7 @@
 LAST = encode(b"0", b"last")
 BROKEN = encode(b"0", TERMINATED)  # to one whose bytes can't be read: no tag of its own is known
 Who = Callable[[Callable[[bytes], bytes]], tuple[tuple[int, bytes], ...]]
+MARKS = {Effect.DEDUPLICATED: b"opkey", Effect.REPEATABLE: b"subject"}  # what repeats are known by
 IDENT = re.compile(rb"[0-9a-fA-F]{16}")
 
 
@@ -74,7 +75,8 @@
             waits = int(self._number(fields, b"timeout", self.bounds.patience / MS) * MS)
         if b"level" in fields:
             self._number(fields, b"level", 1.0)
-        mark = fields.get(b"opkey" if group.effect is Effect.DEDUPLICATED else b"subject", b"")
+        # A subject tells that two reads ask for the same; of two mutating exchanges it tells nothing.
+        mark = fields.get(MARKS[group.effect], b"") if group.effect in MARKS else b""
         return LiveExchange(
             group=group,
             tenant=self.tenants.get(fields.get(b"owner", b"")),
@@ -89,7 +91,7 @@
             tag=tag,
             group_name=words[2],
             body=body,
-            key=(group.index, mark) if mark else None,
+            key=(group.index, fields.get(b"owner", b""), mark) if mark else None,
             connection=connection,
             who=self.who(lambda name: fields.get(name, b"")) if self.who else (),
         )
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -38,7 +38,7 @@
     tag: int
     group_name: bytes
     body: bytes
-    key: tuple[int, bytes] | None  # endpoint group and key, where repeats can be known
+    key: tuple[int, bytes, bytes] | None  # endpoint group, tenant and key, where repeats can be known
     connection: Any  # what it came on and is answered on
 
     answered: bool = False  # or no answer is owed any more
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+import time
 
 from oakkeel.bounds import SECOND
 from oakkeel.catalogue.links import Catalogue
@@ -24,6 +25,8 @@
 from oakkeel.node.start import Start, read_start
 from oakkeel.streams import BufferPool
 
+SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+
 
 class Node:
     """The front of all connections, and the order in which the parts start and end."""
@@ -34,10 +37,11 @@
         self.log = Log(start.name, bounds.log_lines, start.log_form)
         self.measures = Measures()
         links = 2 + bounds.call_links
-        buffers = 2 * (bounds.connections + links)  # some end while others begin
+        buffers = 2 * (bounds.connections + bounds.ending + links)  # some end while others begin
         self.pool = BufferPool(bounds.buffer_size, buffers)
         self.reader: ExchangeReader | None = None
         self.open: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
+        self.came_up: tuple[bool, int, int] | None = None  # the engine, while the node was leaving
         self.done = asyncio.Event()
         self.listener = Listener(start.listen, self.pool, bounds, self, self.log)
         self.reports = Reports(start.lookup, start.name, bounds)
@@ -60,15 +64,15 @@
         self.handler = ExchangeHandler(self.host, self.engine, self.catalogue, self.results, self.measures,
                                        self.log)
 
-    async def run(self, told_again: bool = False) -> None:
-        """From the start to the end of the drain; `told_again`: a SIGHUP came before there was a loop."""
+    async def run(self) -> None:
+        """From the start to the end of the drain."""
         loop = asyncio.get_running_loop()
         self.log.take_others(loop)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # one that came before there was a loop comes now
         self.listener.open()
-        self.reports.start()
         if self.control:
             self.control.open()
         serving = asyncio.ensure_future(self.engine.serve())
@@ -77,11 +81,8 @@
         gc.freeze()  # what is loaded by now lives as long as the process
         host, port = self.listener.address
         self.log.say("listening", address=f"{host}:{port}")
-        if told_again:
-            self.reload()
         await self.done.wait()
-        loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while the loop closes
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # one that comes from now on must not end it badly
         serving.cancel()
         self.reports.close()
         if self.fairly:
@@ -92,9 +93,11 @@
         self.log.say("left")
 
     def _engine_up(self, cold: bool, age: int) -> None:
-        if self.draining:
-            return  # it leaves without having taken anything
+        if self.draining:  # it leaves without having taken anything, or is told to stay after all
+            self.came_up = (cold, age, time.monotonic_ns())
+            return
         self.host.begin(cold, age)
+        self.reports.start()
         who = None
         if self.fairly:
             self.fairly.begin()
@@ -104,6 +107,13 @@
         self.log.say("the engine is up", state="cold" if cold else "steady",
                      age_s=round(age / SECOND, 1))
 
+    def stay(self) -> None:
+        """A drain was taken back: take exchanges, where the engine came up meanwhile."""
+        if self.came_up:
+            cold, age, at = self.came_up
+            self.came_up = None
+            self._engine_up(cold, age + time.monotonic_ns() - at)
+
     def reload(self) -> None:
         """Go over to the engine, catalogue and directory that the file names by now, or stay as it is."""
         try:
@@ -140,6 +150,10 @@
     def signal(self) -> float | None:
         return self.host.signal
 
+    def return_after(self) -> int:
+        """When one that is denied at the door may come back, in nanoseconds; 0: it takes no such advice."""
+        return self.host.keel.return_after() if self.host.begun else 0
+
     def leave(self) -> None:
         """The notice to leave for good; a second one changes nothing."""
         self.draining.leave()
--- a/oakkeel/node/handler.py
+++ b/oakkeel/node/handler.py
@@ -28,8 +28,11 @@
         keel, engine, tell = self.host.keel, self.engine, self.host.tell
         try:
             ex.repeats = self.results.find(ex, time.monotonic_ns())
+            if ex.repeats and self.results.differs(ex):
+                ex.connection.fault("a deduplication key came with another body")
+                return self._answer(ex, codec.TERMINATED)
             if ex.key and ex.group.once and not ex.repeats and self.results.full(time.monotonic_ns()):
-                return self._answer(ex, codec.DENIED)  # its repeats could not be told from it
+                return self._deny(ex)  # its repeats could not be told from it
             tell(keel.arrive, ex)
             what, *words = await self._next(ex)
             if what is Event.SHARE:
@@ -106,9 +109,14 @@
     def _answer_run(self, ex: LiveExchange, outcome: Outcome, result: bytes) -> None:
         if outcome is Outcome.COMPLETED:
             self._answer(ex, codec.COMPLETED, result)
+        elif outcome is Outcome.DENIED:
+            self._deny(ex)  # the one that it repeats never ran, and so neither did this
         else:
             self._answer(ex, codec.TERMINATED)
 
+    def _deny(self, ex: LiveExchange) -> None:
+        self._answer(ex, codec.DENIED, retry_after=self.host.keel.return_after())
+
     def _answer(self, ex: LiveExchange, word: bytes, body: bytes = b"", last: bool = False,
                 retry_after: int = 0) -> None:
         """The one place that answers; what was answered, or whose caller is gone, is not answered again."""
--- a/oakkeel/node/results.py
+++ b/oakkeel/node/results.py
@@ -1,66 +1,89 @@
-"""What is kept of exchanges so that their repeats can take their result, within a bound on memory."""
+"""Results of exchanges for their repeats, within a bound on memory: deduplication, and shared reads."""
 
 from __future__ import annotations
 
 import time
+from hashlib import blake2b
 
 from oakkeel.bounds import Bounds
 from oakkeel.exchange import Event, LiveExchange
 from oakkeel.interface import Outcome
 
+Key = tuple[int, bytes, bytes]  # endpoint group, tenant, key: nobody gets another tenant's result
 
-class CachedResult:
-    """One kept exchange: under way, or over with its outcome and result."""
-
-    __slots__ = ("key", "until", "once", "outcome", "result", "ended", "followers")
 
-    def __init__(self, key: tuple[int, bytes], until: int, once: bool) -> None:
-        self.key, self.until, self.once = key, until, once
+class CachedResult:
+    """One exchange that may be repeated: under way, or over with its outcome and result."""
+
+    __slots__ = ("key", "until", "dropped", "once", "body", "outcome", "result", "ended", "followers",
+                 "before")
+
+    def __init__(self, key: Key, ex: LiveExchange, now: int, duration: int,
+                 before: CachedResult | None) -> None:
+        """`duration` in nanoseconds: of what may run once from its arrival at the machine, of a read from
+        now."""
+        self.key, self.once = key, ex.group.once
+        self.until = now + duration - (ex.backlog if self.once else 0)
+        # One that came in time may be read as late as its caller waits, and must still find it.
+        self.dropped = self.until + (ex.group.async_timeout if self.once else 0)
+        self.body = blake2b(ex.body, digest_size=16).digest() if self.once else b""
         self.outcome: Outcome | None = None
         self.result, self.ended = b"", 0
         self.followers: list[LiveExchange] = []
+        self.before = before  # whose place it has, while it may still turn out never to have run
+
+    def follow(self, ex: LiveExchange) -> None:
+        """It takes the result, now or when there is one."""
+        if self.outcome is not None:
+            ex.tell(Event.SHARED, self.outcome, self.result)
+        else:
+            self.followers.append(ex)
 
     def end(self, outcome: Outcome, result: bytes) -> None:
         """Its run is over, or it never comes: all that wait for it are told."""
         if self.outcome is None:
             self.outcome, self.result, self.ended = outcome, result, time.monotonic_ns()
+            self.before = None
             for ex in self.followers:
                 ex.tell(Event.SHARED, outcome, result)
             self.followers.clear()
 
 
 class ResultCache:
-    """By endpoint group and key. A later exchange that is kept takes the place of an earlier one."""
+    """By endpoint group, tenant and key. A later exchange takes the place of one whose time is up."""
 
     def __init__(self, bounds: Bounds, fresh: int) -> None:
+        """`fresh`: nanoseconds for which the result of a read may serve others."""
         self.most, self.fresh = bounds.kept, fresh
-        self.results: dict[tuple[int, bytes], CachedResult] = {}
+        self.results: dict[Key, CachedResult] = {}
 
     def find(self, ex: LiveExchange, now: int) -> bool:
-        """Whether it repeats one that is kept: it reached the machine while that one lived."""
-        kept = self.results.get(ex.key) if ex.key else None
-        if kept is None or now - ex.backlog >= kept.until:
+        """Whether it repeats one that is here: it reached the machine while that one's time was not up."""
+        cached = self.results.get(ex.key) if ex.key else None
+        if cached is None or now - ex.backlog >= cached.until:
             return False
-        if not kept.once and kept.outcome is not None and (
-                kept.outcome is not Outcome.COMPLETED or now - kept.ended > self.fresh):
+        if not cached.once and cached.outcome is not None and (
+                cached.outcome is not Outcome.COMPLETED or now - cached.ended > self.fresh):
             return False
-        ex.earlier = kept
+        ex.earlier = cached
         return True
 
+    def differs(self, ex: LiveExchange) -> bool:
+        """Whether it has the key of the one that it would repeat, but asks for something else. A result that
+        was not made for it would be an answer to nothing it asked, and to run it might be a second effect."""
+        earlier = ex.earlier
+        return earlier.once and earlier.body != blake2b(ex.body, digest_size=16).digest()
+
     def share(self, ex: LiveExchange) -> None:
-        kept = ex.earlier
-        if kept.outcome is not None:
-            ex.tell(Event.SHARED, kept.outcome, kept.result)
-        else:
-            kept.followers.append(ex)
+        ex.earlier.follow(ex)
 
     def full(self, now: int) -> bool:
         """No room for another key, not even in place of a read's or of one whose time is up."""
         if len(self.results) < self.most:
             return False
         self._sweep(now)
-        for key, kept in self.results.items():
-            if len(self.results) >= self.most and not kept.once:
+        for key, cached in self.results.items():
+            if len(self.results) >= self.most and not cached.once:
                 del self.results[key]
                 break
         return len(self.results) >= self.most
@@ -69,19 +92,28 @@
         if ex.key is None:
             return  # nothing that its repeats could be known by
         self.full(now)  # makes room
-        ex.cached = self.results[ex.key] = CachedResult(ex.key, now + duration, ex.group.once)
+        ex.cached = self.results[ex.key] = CachedResult(ex.key, ex, now, duration, self.results.get(ex.key))
 
     def forget(self, ex: LiveExchange) -> None:
-        kept: CachedResult | None = ex.cached
-        if kept is not None:
-            if self.results.get(kept.key) is kept:
-                del self.results[kept.key]
-            kept.end(Outcome.ERROR, b"")
+        """It never ran, and never will. One whose place it had is there again: that one may have run, and
+        repeats of it may still be unread, or have been taken for repeats of this one."""
+        cached: CachedResult | None = ex.cached
+        if cached is None:
+            return
+        before = cached.before
+        if self.results.get(cached.key) is cached:
+            del self.results[cached.key]
+        if before and before.once:
+            self.results.setdefault(cached.key, before)
+            for each in [each for each in cached.followers if each.arrived - each.backlog < before.until]:
+                cached.followers.remove(each)
+                before.follow(each)
+        cached.end(Outcome.DENIED, b"")
 
     def ended(self, ex: LiveExchange, outcome: Outcome, result: bytes) -> None:
         if ex.cached is not None:
             ex.cached.end(outcome, result)
 
     def _sweep(self, now: int) -> None:
-        for key in [key for key, kept in self.results.items() if kept.until <= now]:
+        for key in [key for key, cached in self.results.items() if cached.dropped <= now]:
             del self.results[key]
--- a/oakkeel/policy/ladder.py
+++ b/oakkeel/policy/ladder.py
@@ -290,7 +290,7 @@
 
     def _deny(self, ex: Exchange, last: bool = True) -> None:
         """Answer at once, with when to come back and whether a try elsewhere is worth its reading."""
-        after = self._retry_after()
+        after = self.return_after()
         if self.fair and self.limits.max_retry_after and not self.stop_at:
             after = self.fair.return_after(self.now, ex, self.limits.max_retry_after)
         self.host.deny(ex, last, after)
@@ -307,7 +307,7 @@
             if ex.group.once:
                 self.host.terminate(ex)
             else:
-                self.host.deny(ex, True, self._retry_after())
+                self.host.deny(ex, True, self.return_after())
             self._abandon(ex)
 
     def _abandon(self, ex: Exchange) -> None:
@@ -323,7 +323,7 @@
         elif ex.state < State.ORPHANED:
             self._move(ex, State.OVER)
 
-    def _retry_after(self) -> int:
+    def return_after(self) -> int:
         """When to return: soon where only low ranks are shed, as a caller stays away with all that it has."""
         crowd = 1.0 if self.depth_stage == Stage.REJECT else min(1.0, self.reading / self.limits.cores) ** 3
         crowd *= min(1.0, self.limits.peers / RETRY_PEERS)  # where few could take it, cores idle meanwhile
