End a connection in phases: shut down, read on, then close; hear signals from the start

Nothing is closed while bytes wait in the kernel; our side is shut down first and what crosses that is dropped, never run. An accept that fails no longer ends the accepting in front of good ones; with no descriptor left it makes room or pauses in place of spinning. One beyond the limit has what came with it denied.

--- a/oakkeel/__main__.py
+++ b/oakkeel/__main__.py
@@ -5,27 +5,16 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import signal
 import sys
 
-from oakkeel.limits import LimitsError
-from oakkeel.node.start import Start, read_start
-
 
 def main() -> int:
     if sys.argv[1:]:
         return _command()
-    hangups: list[int] = []  # SIGHUP must not end a node that is just starting
-    signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
-    try:
-        start = read_start(os.environ)
-        asyncio.run(_run(start, hangups))
-    except (LimitsError, OSError) as error:
-        print(f"oakkeel: {error}", file=sys.stderr)
-        return 2
-    return 0
+    # Nobody hears a signal yet: it waits until the node does, and must not end one that is just starting.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGINT, signal.SIGTERM))
+    return _node()
 
 
 def _command() -> int:
@@ -38,10 +27,24 @@
     return commands(prog_name="oakkeel")
 
 
-async def _run(start: Start, hangups: list[int]) -> None:
-    from oakkeel.node.assembly import Node  # a bad start fails before anything else is loaded
+def _node() -> int:
+    import asyncio
+    import os
+
+    from oakkeel.limits import LimitsError
+    from oakkeel.node.start import Start, read_start
 
-    await Node(start).run(bool(hangups))
+    async def run(start: Start) -> None:
+        from oakkeel.node.assembly import Node  # a bad start fails before anything else is loaded
+
+        await Node(start).run()
+
+    try:
+        asyncio.run(run(read_start(os.environ)))
+    except (LimitsError, OSError) as error:
+        print(f"oakkeel: {error}", file=sys.stderr)
+        return 2
+    return 0
 
 
 if __name__ == "__main__":
--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -36,10 +36,15 @@
     young: int = 50 * MS  # since its accept: what it sent may not be read yet
     sweep: int = 250 * MS  # between looks at what connections leave undone
     silent: int = 2 * SECOND  # from the accept to the first whole array, and from an array's start to its end
-    broken: int = 2 * SECOND  # for what is open on a connection that can't be read any further
+    half_closed: int = 20 * MS  # between looks at whether one that sends no more has closed both ways
+    linger: int = SECOND  # from the end of our side of a connection until we close it
+    ending: int = 16  # connections that had to make room, or had none, and end
+    accept_again: int = 50 * MS  # where no descriptor was left
     untaken: int = 10 * SECOND  # that a write to a dispatcher may take
     last_wait: int = SECOND  # from `0 last` until we close a connection with nothing open ourselves
 
+    stop_room: int = 30 * MS  # from the end of what is left in a drain to the stop
+
     # The engine.
     engine_retry: int = 50 * MS  # from one try to connect to the next
     engine_loss: int = 150 * MS  # a break may take commands with it that are younger
@@ -80,7 +85,7 @@
     @property
     def connections(self) -> int:
         """Of dispatchers, at one time."""
-        return max(1, self.sockets - self.spare_sockets - self.call_links)
+        return max(1, self.sockets - self.spare_sockets - self.call_links - self.ending)
 
     @property
     def unread(self) -> int:
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import time
 
-from tornado.iostream import IOStream
-
 from oakkeel.bounds import SECOND, Bounds
 from oakkeel.dispatch.connection import Connection, Front
 from oakkeel.log import Log, fault
-from oakkeel.streams import BufferPool
+from oakkeel.streams import BufferPool, HalfClosingStream
+
+BACKLOG = 1024  # connections that the kernel lets wait
+NO_DESCRIPTOR = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
 class Listener:
@@ -22,16 +24,19 @@
         self.connections: set[Connection] = set()
         self.tasks: set[asyncio.Task] = set()
         self.silent: dict[Connection, int] = {}  # when those with no exchange were heard, the longest first
+        self.ending: dict[Connection, None] = {}  # had no room, or made it; the oldest first
         self.idle: dict[Connection, int] = {}  # since when nothing is open on it, the longest first
         self.idle_after = 0  # 0: idle connections stay
         self.idle_timer: asyncio.TimerHandle | None = None
         self.sweeper: asyncio.TimerHandle | None = None
         self.emptied = asyncio.Event()  # set whenever a connection ends
         self.accepting = False
-        self.socket = _listen(address)
+        self.resume: asyncio.TimerHandle | None = None  # accepts again, where there was no descriptor
+        self.socket = _bind(address)
         self.address: tuple[str, int] = self.socket.getsockname()
 
     def open(self) -> None:
+        self.socket.listen(BACKLOG)
         asyncio.get_running_loop().add_reader(self.socket, self._accept_some)
         self.accepting = True
         if self.sweeper is None:
@@ -39,65 +44,113 @@
 
     def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran. One that waits to
-        be accepted may carry an exchange that was read by the machine, and is owed its answer."""
+        be accepted may carry an exchange that was read by the machine, and is owed its answer. All that wait
+        are taken off before any is looked at, and the socket is closed right behind the last: what comes
+        between is reset. They are no more than the kernel lets wait: a flood would keep us here for good."""
         if self.accepting:
-            while self._accept_some():
-                pass
             asyncio.get_running_loop().remove_reader(self.socket)
             self.accepting = False
+            if self.resume:
+                self.resume.cancel()
+                self.resume = None
+            waiting: list[socket.socket] = []
+            for _ in range(BACKLOG):
+                try:
+                    waiting.append(self.socket.accept()[0])
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    if error.errno in NO_DESCRIPTOR and not waiting and not self._make_room():
+                        break
+                while waiting and len(self.connections) + len(waiting) >= self.bounds.connections:
+                    self._accept(waiting.pop(0))
+            self.socket.close()
+            for accepted in waiting:
+                self._accept(accepted)
         self.socket.close()
 
     def reopen(self) -> None:
         """Take new connections again at the same address. Raises OSError where it is another's by now."""
         if not self.accepting:
-            self.socket = _listen(self.address)
+            self.socket = _bind(self.address)
             self.open()
 
-    def _accept_some(self) -> bool:
+    def _accept_some(self) -> None:
         """Accept a few: in a flood of connections the rest waits for the next pass of the loop, behind all
-        that the connections at work have brought by then. False where none is left."""
+        that the connections at work have brought by then."""
         for _ in range(self.bounds.accepts):
             try:
                 accepted, _ = self.socket.accept()
             except BlockingIOError:
-                return False
-            except OSError as error:  # reset before it was accepted
+                return
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTOR:
+                    continue  # this one was reset before it was accepted; those behind it were not
                 self.log.say("a connection was not accepted", error=str(error))
-                return False
-            accepted.setblocking(False)
+                if not self._make_room():
+                    return self._pause()
+                continue
             self._accept(accepted)
-        return True
+
+    def _pause(self) -> None:
+        """No descriptor is to be had: the socket would wake the loop again and again for nothing."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.socket)
+        self.resume = loop.call_later(self.bounds.accept_again / SECOND, self._resume)
+
+    def _resume(self) -> None:
+        self.resume = None
+        asyncio.get_running_loop().add_reader(self.socket, self._accept_some)
 
     def _accept(self, accepted: socket.socket) -> None:
-        if len(self.connections) >= self.bounds.connections and not self._make_room():
-            return accepted.close()  # nothing ran on it: better than to wait unseen, until it is too late
+        accepted.setblocking(False)
+        room = len(self.connections) < self.bounds.connections or self._make_room()
         with contextlib.suppress(OSError):  # reset by now: its stream finds out
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(accepted, max_buffer_size=self.bounds.buffer_size,
-                          read_chunk_size=self.bounds.buffer_size)
+        stream = HalfClosingStream(accepted, max_buffer_size=self.bounds.buffer_size,
+                                   read_chunk_size=self.bounds.buffer_size)
         connection = Connection(stream, self.pool, self.bounds, self.front, self.log, self._heard)
-        self.connections.add(connection)
-        self.silent[connection] = time.monotonic_ns()
+        if room:
+            self.connections.add(connection)
+            self.silent[connection] = time.monotonic_ns()
+        else:
+            self._end_soon(connection)
+            connection.turn_away()
         task = asyncio.ensure_future(self._serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     def _make_room(self) -> bool:
-        """End the connection that said nothing for longest, or else the one idle for longest."""
+        """End the connection that said nothing for longest, or else the one idle for longest, or one that
+        left half an array: none on which something is open, on its way or just comes."""
         self.log.say("no descriptors left: a connection that is not at work makes room")
-        silent, idle = next(iter(self.silent), None), next(iter(self.idle), None)
-        young = silent and time.monotonic_ns() - self.silent[silent] < self.bounds.young
-        connection = idle if idle and young else silent or idle
-        if connection is None:
-            return False
-        connection.close()
+        young = time.monotonic_ns() - self.bounds.young
+        old = [each for each, since in self.silent.items() if since <= young]
+        for connection in (*old, *self.idle, *self.silent):
+            if connection.at_rest():
+                break
+        else:
+            half = [each for each in old if not each.open and not each.unread]
+            if not half:
+                return False
+            connection = half[0]
         self._forget(connection)
+        if connection.make_room():
+            self._end_soon(connection)
         return True
 
+    def _end_soon(self, connection: Connection) -> None:
+        """It has a descriptor for a moment longer, of those kept back for such."""
+        while len(self.ending) >= self.bounds.ending:
+            next(iter(self.ending)).close()
+            self.ending.pop(next(iter(self.ending)))
+        self.ending[connection] = None
+
     def _forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
+        self.ending.pop(connection, None)
         self.emptied.set()
 
     async def _serve(self, connection: Connection) -> None:
@@ -111,17 +164,22 @@
     def _sweep(self) -> None:
         """End what is overdue, again and again."""
         now = time.monotonic_ns()
-        for connection in [each for each in self.connections if each.overdue(now)]:
-            connection.close()
+        for connection in list(self.connections):
+            connection.overdue(now)
         self.sweeper = asyncio.get_running_loop().call_later(self.bounds.sweep / SECOND, self._sweep)
 
     def last(self) -> None:
         for connection in list(self.connections):
             connection.leave()
 
+    def end(self) -> None:
+        """Close all that is left: its time is over."""
+        for connection in (*self.connections, *self.ending):
+            connection.close()
+
     async def gone(self) -> None:
         """Wait until every connection has ended."""
-        while self.connections:
+        while self.connections or self.ending:
             self.emptied.clear()
             await self.emptied.wait()
         if self.sweeper:
@@ -161,7 +219,7 @@
             connection.leave()
 
 
-def _listen(address: tuple[str, int]) -> socket.socket:
+def _bind(address: tuple[str, int]) -> socket.socket:
     listening = socket.socket()
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.setblocking(False)
@@ -170,5 +228,4 @@
     except OSError:
         listening.close()
         raise
-    listening.listen(1024)
     return listening
--- a/oakkeel/node/drain.py
+++ b/oakkeel/node/drain.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-from oakkeel.bounds import SECOND
+from oakkeel.bounds import SECOND, Bounds
 from oakkeel.directory.reports import Reports
 from oakkeel.dispatch.listener import Listener
 from oakkeel.log import Log, fault
@@ -37,8 +37,11 @@
     reports: Reports
     host: NodeHost
     log: Log
+    bounds: Bounds
     done: asyncio.Event
 
+    def stay(self) -> None: ...
+
 
 class Drain:
     def __init__(self, node: Drained, grace: int, stop_after: int) -> None:
@@ -48,6 +51,7 @@
         self.state = Leaving.NOT
         self.final = False  # told by SIGTERM, which nothing takes back
         self.task: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None  # ends what is left just before the stop
 
     def __bool__(self) -> bool:
         """Whether it goes on, or is over."""
@@ -59,8 +63,10 @@
             return  # a second one changes nothing
         self.final = final
         if self:  # it may have been given longer
+            self._end_by(self.stop_after)
             return self._tell(self.stop_after)
         self._move(Leaving.GRACE)
+        self._end_by(within or self.stop_after)
         self.task = asyncio.ensure_future(self._drain(within or self.stop_after))
 
     def stay(self) -> str:
@@ -76,9 +82,12 @@
             return f"it can't listen again: {error}"
         if self.task:
             self.task.cancel()
+        if self.timer:
+            self.timer.cancel()
         self._move(Leaving.NOT)
         self._tell(None)
         node.reports.set_taking(True)
+        node.stay()
         node.log.say("stays")
         return ""
 
@@ -96,8 +105,22 @@
         node.listener.last()
         await node.listener.gone()  # each ends only when all on it is answered and on its way
         self._move(Leaving.ENDED)
+        if self.timer:
+            self.timer.cancel()
         node.done.set()
 
+    def _end_by(self, left: int) -> None:
+        """Some dispatchers neither close a connection nor read from it: what is left is closed just before
+        the stop, or that would find the node waiting for them."""
+        if self.timer:
+            self.timer.cancel()
+        wait = max(0, left - self.node.bounds.stop_room) / SECOND
+        self.timer = asyncio.get_running_loop().call_later(wait, self._end)
+
+    def _end(self) -> None:
+        self.node.log.say("the stop is near: what is left of the connections is closed")
+        self.node.listener.end()
+
     def _tell(self, left: int | None) -> None:
         try:
             if self.node.host.begun:
--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -40,6 +40,18 @@
         self.pool, self.buffer = pool, pool.lease()
         self.start = self.end = 0
 
+    @property
+    def waiting(self) -> bool:
+        """Whether it holds bytes that no parser has taken."""
+        return self.start != self.end
+
+    def drop(self) -> None:
+        self.start = self.end = 0
+
+    def take(self, opened: socket.socket) -> None:
+        """What is there at once, of a socket that no stream reads yet. Raises OSError."""
+        self.end += opened.recv_into(memoryview(self.buffer)[self.end :])
+
     async def fill(self, stream: IOStream) -> None:
         """Wait for more. What a parser left is moved to the front; a full buffer holds no whole message."""
         if self.start:
@@ -48,14 +60,43 @@
         if self.end == len(self.buffer):
             raise Malformed(f"longer than {self.end} bytes")
         room = memoryview(self.buffer)[self.end :]
-        self.end += await stream.read_into(room, partial=True)  # type: ignore[arg-type]  # any buffer will do
+        count = await stream.read_into(room, partial=True)  # type: ignore[arg-type]  # any buffer will do
+        self.end += stream.delivered(count) if isinstance(stream, HalfClosingStream) else count
 
     def close(self) -> None:
         self.pool.give_back(self.buffer)
 
 
+class HalfClosingStream(IOStream):
+    """A stream on which the other side may end its half and go on to read ours.
+
+    An IOStream closes both ways at the end of what comes, and what is still owed is lost. Here that end comes
+    as one byte more than was received, which `delivered` takes off; nothing may be read after it.
+    """
+
+    received = 0  # and not delivered yet
+    ended = False  # the other side sends no more, and all that it sent is delivered
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        count = super().read_from_fd(buf)
+        if count == 0:
+            return 1
+        self.received += count or 0
+        return count
+
+    def delivered(self, count: int) -> int:
+        """How many of the bytes that a read brought were received."""
+        real = min(count, self.received)
+        self.received -= real
+        self.ended = real < count
+        return real
+
+
 async def connect(stream: IOStream, address: tuple[str, int]) -> None:
+    """Raises StreamClosedError where it can't be reached, or was closed meanwhile."""
     await stream.connect(address)
+    if stream.closed():  # between the connection and our turn
+        raise StreamClosedError
     stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
