Leave an engine address that takes no link or says nothing, also in a move

engine/link.py: a connect that nobody answers lasted as long as TCP's patience, and a move to a good address waited for it; a link that was taken but never greeted, after the engine had been up, was never given up; a second move closed the old link before it had read what was written.

--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -84,19 +84,26 @@
         self.barrier, self.barrier_at = b"", 0  # the tag of the gauges that end the taking up of a link
         self.swap = b""  # the tag of the gauges that end an old link
         self.stream: IOStream | None = None
+        self.trying: IOStream | None = None  # the same from before it is connected
+        self.patience: asyncio.TimerHandle  # ends a link that is not taken, or whose HELLO does not come
         self.open = False  # attached, and all that was missed is read
         self.losses = 0
 
     async def serve(self) -> None:
         """Attach and read, again and again."""
+        loop = asyncio.get_running_loop()
         while True:
             tried = time.monotonic_ns()
             stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
             read_buffer = ReadBuffer(self.pool)
+            self.trying = stream
+            # An address may take the connection and say nothing, or not even take it, for as long as TCP has
+            # patience. An engine that was never up may hold its HELLO back for as long as it likes.
+            self.patience = loop.call_later(self.bounds.engine_silent / SECOND, stream.close)
             try:
-                await connect(stream, address := self.address)
-                if address != self.address:
-                    raise StreamClosedError  # told of another engine meanwhile: this one would never answer
+                await connect(stream, self.address)
+                if not self.up:
+                    self.patience.cancel()
                 self.stream = stream
                 send(stream, b"ATTACH %d\r\n" % self.heard)
                 parser = LineParser(read_buffer, WITH_BODY, self.bounds.words)
@@ -112,12 +119,14 @@
             except Exception as error:  # a node without its engine's notices would answer nothing more
                 self.log.say("the engine's link failed", error=fault(error))
             finally:
+                self.patience.cancel()
                 stream.close()
                 read_buffer.close()
                 if self.stream is stream and not self.swap:
                     self.losses += 1
                     self.log.say("the engine's link is lost")
                 self.stream, self.open, self.barrier, self.swap = None, False, b"", b""
+                self.trying = None
             wait = tried + self.bounds.engine_retry - time.monotonic_ns()
             await asyncio.sleep(max(0, wait) / SECOND)
 
@@ -126,10 +135,12 @@
         if address == self.address:
             return
         self.address = address
-        if (stream := self.stream) is None:
-            return  # the next try goes there
-        if not self.open:
-            return stream.close()
+        if self.swap:
+            return  # the old link ends as it was about to, and the next one goes there
+        if (stream := self.stream) is None or not self.open:
+            if self.trying:
+                self.trying.close()  # also one that only tries to connect: it may be left waiting
+            return
         self.open = False  # commands wait for the new link
         self.swap = b"w%d" % next(self.tags)
         send(stream, b"STAT %s\r\n" % self.swap)
@@ -234,12 +245,14 @@
         """A run that the engine does not know is over; of the other commands nothing hangs on."""
         self.log.say("the engine did not carry out a command", command=verb.decode(errors="replace"))
         if verb in (b"RUN", b"HALT"):
-            if (ex := self.runs.get(ident)) and verb == b"RUN":
-                ex.unknown = True
+            ex = self.runs.get(ident)
             self._done(ident, Outcome.ERROR, 0, b"")
+            if ex and verb == b"RUN":
+                ex.unknown, ex.ran = True, False  # its key stays free for the exchange that it belongs to
 
     def _hello(self, state: bytes, age: int) -> None:
         """Attached: what was missed follows, and the answer to a STAT sent now comes after all of it."""
+        self.patience.cancel()
         if not self.up:
             self.up = True
             self.started(state == b"booting", age)
