--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,292 @@
+"""Stories of repeats: what is known of an exchange that came before, for how long, and who may have its result."""
+
+import time
+import unittest
+from dataclasses import replace
+
+from oakkeel.bounds import MS, SECOND
+from oakkeel.dispatch.codec import ExchangeReader
+from oakkeel.exchange import Event
+from oakkeel.interface import Effect, Outcome
+from oakkeel.node.results import ResultCache
+from tests.fake import GROUP, FakeHost, NodeStory
+from tests.test_links import BOUNDS, exchange
+
+ONCE = replace(GROUP, effect=Effect.DEDUPLICATED, window=SECOND)
+KEY = (0, b"hall", b"k1")
+NOW = 100 * SECOND
+
+
+def one(**fields):
+    return exchange(**{**dict(group=ONCE, key=KEY, body=b"two seats"), **fields})
+
+
+class WindowStories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.results = ResultCache(BOUNDS, 0)
+
+    def remembered(self, now: int = NOW, **fields):
+        ex = one(**fields)
+        self.results.remember(ex, now, SECOND)
+        return ex
+
+    def test_the_window_counts_from_arrival_to_arrival_not_from_reading(self):
+        self.remembered(backlog=300 * MS)  # it came at 99.7 s
+        self.assertTrue(self.results.find(one(), NOW + 699 * MS))
+        self.assertFalse(self.results.find(one(), NOW + 700 * MS))  # it would have had a result of before
+        self.assertTrue(self.results.find(one(backlog=5 * MS), NOW + 704 * MS))
+
+    def test_a_window_shorter_than_the_run_ends_with_the_run_going_on(self):
+        self.remembered()
+        self.assertTrue(self.results.find(one(), NOW + 999 * MS))
+        self.assertFalse(self.results.find(one(), NOW + SECOND))
+
+    def test_one_read_first_though_it_came_later_is_the_one_that_runs(self):
+        self.remembered(backlog=0)
+        self.assertTrue(self.results.find(one(backlog=500 * MS), NOW + MS))
+
+    def test_one_that_came_in_time_is_known_however_full_the_table_is_when_it_is_read(self):
+        # A full table was swept of entries whose window was over, and the late one ran a second time.
+        results = self.results = ResultCache(replace(BOUNDS, memory=4 * BOUNDS.kept_size), 0)
+        self.remembered()
+        later = NOW + SECOND + 400 * MS
+        self.assertTrue(results.full(later))
+        self.assertTrue(results.find(one(backlog=500 * MS), later))
+        self.assertFalse(results.full(NOW + SECOND + ONCE.async_timeout))
+
+    def test_one_that_never_ran_gives_its_place_back_to_the_one_that_did(self):
+        first = self.remembered()
+        self.results.ended(first, Outcome.COMPLETED, b"first")
+        second = self.remembered(NOW + 1100 * MS)
+        self.results.forget(second)
+        late = one(backlog=300 * MS)  # it came at 100.9 s, within the window of the first
+        self.assertTrue(self.results.find(late, NOW + 1200 * MS))
+        self.results.share(late)
+        self.assertEqual(late.events.popleft(), (Event.SHARED, Outcome.COMPLETED, b"first"))
+
+    def test_a_follower_of_one_that_never_ran_takes_the_result_that_was_right_for_it(self):
+        first = self.remembered()
+        second = self.remembered(NOW + 1100 * MS)
+        late, fresh = one(backlog=300 * MS), one()
+        late.arrived = fresh.arrived = NOW + 1200 * MS
+        for each in (late, fresh):
+            self.assertTrue(self.results.find(each, NOW + 1200 * MS))
+            self.results.share(each)
+        self.results.forget(second)
+        self.assertEqual(fresh.events.popleft()[:2], (Event.SHARED, Outcome.DENIED))
+        self.assertFalse(late.events)
+        self.results.ended(first, Outcome.COMPLETED, b"first")
+        self.assertEqual(late.events.popleft(), (Event.SHARED, Outcome.COMPLETED, b"first"))
+
+    def test_an_unresolved_one_passes_its_place_back_past_two(self):
+        first, second = self.remembered(), self.remembered(NOW + 1100 * MS)
+        third = self.remembered(NOW + 2200 * MS)
+        self.results.forget(second)  # in the middle: nothing changes
+        self.assertIs(self.results.results[KEY], third.cached)
+        self.results.ended(first, Outcome.STOPPED, b"")
+        self.results.ended(third, Outcome.COMPLETED, b"third")
+        self.assertTrue(self.results.find(one(), NOW + 2300 * MS))
+
+
+class IdentityStories(unittest.TestCase):
+    def setUp(self) -> None:
+        limits = FakeHost(groups=[{"effect": effect} for effect in Effect], tenants=[1.0]).limits
+        self.reader = ExchangeReader(limits, [effect.value for effect in Effect], ["hall"], BOUNDS)
+
+    def read(self, effect: Effect, fields: bytes, body: bytes = b"b"):
+        words = [b"CALL", b"1", effect.value.encode(), b"req=9b1f03aa5c7e2d41,need=1," + fields, body]
+        return self.reader.read(1, words, None)
+
+    def test_two_tenants_never_share_a_key_or_a_subject(self):
+        for effect, name in ((Effect.DEDUPLICATED, b"opkey"), (Effect.REPEATABLE, b"subject")):
+            keys = {self.read(effect, owner + name + b"=k1").key
+                    for owner in (b"owner=hall,", b"owner=fete,", b"owner=,", b"owner=unheard-of,")}
+            self.assertEqual(len(keys), 4)
+
+    def test_two_mutating_exchanges_about_one_subject_are_two(self):
+        # With reads shared elsewhere the second took the result of the first, and never ran.
+        for fields in (b"subject=s", b"opkey=k"):
+            ex = self.read(Effect.MUTATING, fields)
+            self.assertEqual((ex.key, ex.has_key), (None, False))
+
+    def test_a_key_of_one_kind_is_none_of_the_other(self):
+        self.assertIsNone(self.read(Effect.DEDUPLICATED, b"subject=s").key)
+        self.assertIsNone(self.read(Effect.REPEATABLE, b"opkey=k").key)
+
+    def test_the_same_key_with_another_body_is_another_thing(self):
+        results = ResultCache(BOUNDS, 0)
+        first = one()
+        results.remember(first, NOW, SECOND)
+        for body, differs in ((b"two seats", False), (b"nine seats", True), (b"", True)):
+            ex = one(body=body)
+            self.assertTrue(results.find(ex, NOW))
+            self.assertEqual(results.differs(ex), differs)
+
+
+class RepeatStories(NodeStory):
+    """The same on sockets: `order` may run once in a window of 5 s."""
+
+    def order(self, dispatcher, key: str = "k1", body: bytes = b"two seats", **more) -> str:
+        return dispatcher.call("order", body, fields=f",opkey={key}" + more.pop("fields", ""), **more)
+
+    def runs(self, ident: str) -> None:
+        self.assertEqual(self.engine.next()[:2], ("RUN", ident))
+
+    def seen(self, dispatcher) -> None:
+        """All that it sent so far is read."""
+        dispatcher.send("CHECK", "99", "")
+        self.assertEqual(dispatcher.answer()[0], 99)
+
+    def begun(self):
+        self.begin()
+        return self.dispatcher(), self.dispatcher()
+
+    def filled(self) -> tuple:
+        """All cores busy with others, so that the next exchange is held."""
+        dispatcher, other = self.begun()
+        busy = [dispatcher.call("pay") and self.engine.next()[1] for _ in range(4)]
+        return dispatcher, other, busy
+
+    def test_two_tenants_with_one_key_both_run_and_get_their_own_results(self):
+        one, two = self.begun()
+        first = self.order(one, fields=",owner=hall")
+        self.runs(first)
+        second = self.order(two, fields=",owner=fete")
+        self.runs(second)
+        self.engine.done(second, body=b"for fete")
+        self.engine.done(first, body=b"for hall")
+        self.assertEqual(one.answer()[1::2], (b"ok", b"for hall"))
+        self.assertEqual(two.answer()[1::2], (b"ok", b"for fete"))
+
+    def test_one_who_takes_anothers_key_for_a_body_of_his_own_gets_nothing_of_it(self):
+        # 'a bad client was given the answer served': arima-tickets, join days of the short panel.
+        one, two = self.begun()
+        first = self.order(one)
+        self.runs(first)
+        self.order(two, body=b"nine seats")
+        self.assertEqual(two.answer()[1::2], (b"fault", b""))
+        self.engine.done(first)
+        self.assertEqual(one.answer()[1], b"ok")
+        self.order(two, body=b"nine seats", tag=2)  # nor once it is over
+        self.assertEqual(two.answer()[1::2], (b"fault", b""))
+        self.order(one, tag=2)
+        self.assertEqual(one.answer()[1::2], (b"ok", b"result"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_one_who_comes_first_with_a_key_that_is_not_his_blocks_nobody(self):
+        # The engine does not know it, which proves that nothing ran; its error stayed for a whole window.
+        one, two = self.begun()
+        guessed = self.order(two)
+        self.runs(guessed)
+        self.engine.say(f"NO RUN {guessed}")
+        self.assertEqual(two.answer()[1], b"fault")
+        first = self.order(one)
+        self.runs(first)
+        self.engine.done(first)
+        self.assertEqual(one.answer()[1], b"ok")
+
+    def test_repeats_while_it_is_held_run_and_just_done_on_two_connections_take_one_run(self):
+        one, two, busy = self.filled()
+        first = self.order(one, tag=9)
+        self.seen(one)
+        self.order(two, tag=1, fields=",resent=1")  # while the first is held
+        self.seen(two)
+        self.engine.done(busy[0])
+        self.runs(first)
+        self.order(two, tag=2, fields=",resent=1")  # while it runs
+        self.seen(two)
+        self.engine.done(first, body=b"once")
+        self.order(two, tag=3, fields=",resent=1")  # just done
+        self.assertEqual([two.answer()[::3] for _ in range(3)], [(1, b"once"), (2, b"once"), (3, b"once")])
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_followers_of_one_whose_caller_goes_while_it_is_held_are_denied_with_when_to_return(self):
+        # They were told that it failed, as if it might have run.
+        one, two, busy = self.filled()
+        self.order(one, tag=9)
+        self.seen(one)
+        self.order(two, fields=",resent=1")
+        self.seen(two)
+        one.send("CANCEL", "9")
+        tag, word, fields, _ = two.answer()
+        self.assertEqual((tag, word), (1, b"full"))
+        self.assertIn(b"holdoff=", fields)
+        again = self.order(two, tag=2, fields=",resent=1")
+        self.engine.done(busy[0])
+        self.runs(again)
+
+    def test_followers_of_one_whose_caller_goes_while_it_runs_get_the_end_of_the_run(self):
+        one, two = self.begun()
+        first = self.order(one)
+        self.runs(first)
+        self.order(two, fields=",resent=1")
+        self.seen(two)
+        one.send("CANCEL", "1")
+        self.assertEqual(self.engine.next()[:2], ("HALT", first))
+        self.engine.done(first, "interrupted", b"")
+        self.assertEqual(two.answer()[:2], (1, b"fault"))
+        self.order(two, tag=2, fields=",resent=1")  # it may have had its effect: never again in the window
+        self.assertEqual(two.answer()[:2], (2, b"fault"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_a_repeat_of_one_that_was_terminated_is_terminated_and_not_run(self):
+        one, two = self.begun()
+        first = self.order(one, timeout=1500)
+        self.runs(first)
+        self.assertEqual(one.answer()[1], b"fault")
+        self.assertEqual(self.engine.next()[:2], ("HALT", first))
+        self.order(two, timeout=400, fields=",resent=1")  # the run is still there, and outlasts this one
+        self.assertEqual(two.answer()[1], b"fault")
+        self.engine.done(first, "interrupted", b"")
+        self.order(two, tag=2, fields=",resent=1")
+        self.assertEqual(two.answer()[1], b"fault")
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_one_whose_window_is_over_runs_again_also_beside_the_first(self):
+        self.begin(settings=self.short_window())
+        one, two = self.dispatcher(), self.dispatcher()
+        first = self.order(one)
+        self.runs(first)
+        start = time.time_ns() // MS
+        late = self.order(two, age=-1000 + time.time_ns() // MS - start)  # its stamp lies beyond the window
+        self.runs(late)
+        self.engine.done(late, body=b"second")
+        self.engine.done(first, body=b"first")
+        self.assertEqual(two.answer()[3], b"second")
+        self.assertEqual(one.answer()[3], b"first")
+
+    def short_window(self) -> dict:
+        told = self.settings()
+        told["classes"] = [{**each, "window": 1 * MS} for each in told["classes"]]
+        return told
+
+    def test_a_new_life_knows_nothing_and_runs_it(self):
+        one, _ = self.begun()
+        self.runs(self.order(one))
+        self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+        self.begin(listen=f"127.0.0.1:{self.port}", state="booting", age="1.0")
+        self.engine.number = 0
+        two = self.dispatcher()
+        again = self.order(two, fields=",resent=1")
+        self.runs(again)
+        self.engine.done(again)
+        self.assertEqual(two.answer()[1], b"ok")
+
+    def test_a_full_table_denies_new_keys_and_knows_the_old_ones(self):
+        self.begin(limits={"cores": 1.0, "memory_mb": 0.1, "sockets": 1024})  # room for one key
+        one, two = self.dispatcher(), self.dispatcher()
+        first = self.order(one)
+        self.runs(first)
+        self.order(two, "k2")
+        tag, word, fields, _ = two.answer()
+        self.assertEqual(word, b"full")
+        self.assertIn(b"holdoff=", fields)
+        self.engine.done(first)
+        self.order(two, tag=2, fields=",resent=1")
+        self.assertEqual(two.answer()[1], b"ok")
+
+
+if __name__ == "__main__":
+    unittest.main()
