--- a/oakkeel/node/start.py
+++ b/oakkeel/node/start.py
@@ -41,7 +41,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise LimitsError(f"the configuration can't be read: {error}") from None
     if not isinstance(told, dict):
         fail("the configuration is no JSON object")
@@ -74,7 +74,7 @@
         )
     except LimitsError:
         raise
-    except (ValueError, OverflowError, AttributeError) as error:
+    except (ValueError, OverflowError, AttributeError, TypeError, RecursionError) as error:
         raise LimitsError(f"the configuration holds what can't be used: {error}") from None
 
 
