--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	touch $@
 
 test: all
-	.venv/bin/python -m unittest discover -s tests -t . -v
+	.venv/bin/python -m tests
 
 lint: all
 	.venv/bin/pip -q install ruff==0.17.6 mypy==2.4.1
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,10 @@
+"""`python -m tests` from the root: every story."""
+
+import sys
+from pathlib import Path
+
+from tests.known_red import run
+
+if __name__ == "__main__":
+    here = Path(__file__).resolve().parent
+    sys.exit(run(here, here.parent))
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -153,6 +153,18 @@
     return [stream.read(int(stream.readline()[1:]) + 2)[:-2] for _ in range(int(head[1:]))] if head else []
 
 
+def until_refused(port: int) -> None:
+    """Connect until nobody listens any more. A listening socket that is closed resets whoever it had not
+    accepted by then, and a connect that was just under way tells that in place of a refusal."""
+    while True:
+        try:
+            socket.create_connection(("127.0.0.1", port), timeout=WAIT).close()
+        except ConnectionRefusedError:
+            return
+        except ConnectionResetError:
+            pass
+
+
 class Dispatcher:
     def __init__(self, port: int) -> None:
         self.socket = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
@@ -194,9 +206,17 @@
         self.gauges = "0.1 0.0 0.1 1.0"
         self.number = 0
         self.link: socket.socket | None = None
+        self.begun = time.monotonic() - 60.0
+
+    def age(self) -> str:
+        """In milliseconds, as its greeting tells it."""
+        return f"{(time.monotonic() - self.begun) * 1000:.1f}"
 
-    def attach(self, state: str = "steady", age: str = "60000.5", answer: bool = True) -> int:
-        """Take a link; returns the number of the last notice that the node has read."""
+    def attach(self, state: str = "steady", age: str = "", answer: bool = True) -> int:
+        """Take a link; returns the number of the last notice that the node has read. An age that is given
+        holds from now on."""
+        if age:
+            self.begun = time.monotonic() - float(age) / 1000
         self.server.settimeout(WAIT)
         self.close()
         self.link, _ = self.server.accept()
@@ -205,7 +225,7 @@
         heard = int(self.stream.readline().split()[1])
         self.answering = answer
         if answer:
-            self.say(f"HELLO {state} {age}")
+            self.say(f"HELLO {state} {self.age()}")
             threading.Thread(target=self._read, args=(self.stream, self.commands), daemon=True).start()
         return heard
 
@@ -329,7 +349,7 @@
             self.addCleanup(opened.close)
         return old
 
-    def begin(self, attach: bool = True, state: str = "steady", age: str = "60000.5", **changes) -> None:
+    def begin(self, attach: bool = True, state: str = "steady", age: str = "", **changes) -> None:
         """Start the node, learn its port from its log, and let its engine be up."""
         self.launch(self.told(**changes))
         self.port = int(self.log("listening").rsplit(":", 1)[1])
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,7 +16,7 @@
 import tomllib
 from unittest import mock
 
-from tests.fake import WAIT, NodeStory
+from tests.fake import WAIT, NodeStory, until_refused
 
 
 class ControlStory(NodeStory):
@@ -138,11 +138,7 @@
         self.assertTrue(self.say(link, type="leave", tag=1, generation=7, within=20_000_000_000)["done"])
 
     def until_it_listens_no_more(self) -> None:
-        while True:  # the grace of 0.3 s ends
-            try:
-                socket.create_connection(("127.0.0.1", self.port), timeout=WAIT).close()
-            except ConnectionRefusedError:
-                return
+        until_refused(self.port)  # the grace of 0.3 s ends
 
     def test_a_cancel_after_the_grace_lets_it_take_work_at_once_and_loses_nothing(self):
         dispatcher, ident = self.running("card")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import unittest
 
 from oakkeel.dispatch.resp import encode
-from tests.fake import TOLD, WAIT, NodeStory
+from tests.fake import TOLD, WAIT, NodeStory, until_refused
 
 ANY_BYTES = bytes(range(256)) * 4 + b"\r\n*3\r\n$1\r\n"
 
@@ -412,7 +412,7 @@
         self.engine.lose()
         self.assertEqual(self.engine.attach(answer=False), 1)
         # What was missed comes before the answer to the barrier; only then is anything sent again.
-        self.engine.say("HELLO steady 70000.0")
+        self.engine.say(f"HELLO steady {self.engine.age()}")
         self.engine.say(f"NEED 1 {running} 4", b"call")
         self.engine.done(ended)
         barrier = self.engine.stream.readline().split()
@@ -509,11 +509,7 @@
         self.assertEqual(dispatcher.next(), [b"0", b"last"])
         within = late.call()  # read in the grace: it runs
         self.assertEqual(self.engine.next()[:2], ("RUN", within))
-        while True:  # the grace of 0.3 s ends: the listening socket closes
-            try:
-                socket.create_connection(("127.0.0.1", self.port), timeout=WAIT).close()
-            except ConnectionRefusedError:
-                break
+        until_refused(self.port)  # the grace of 0.3 s ends: the listening socket closes
         late.call(tag=2)
         self.assertEqual(late.answer()[:2], (2, b"full"))
         self.engine.done(within)
