--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -49,6 +49,7 @@
     engine_retry: int = 50 * MS  # from one try to connect to the next
     engine_loss: int = 150 * MS  # a break may take commands with it that are younger
     engine_silent: int = 2 * SECOND  # without gauges that were asked for, until the link is made anew
+    engine_anew: int = SECOND  # later than it can have begun by what it said before: it began anew
     engine_swap: int = 200 * MS  # for an old link to tell that it has read all
     gauges_wait: int = 10 * MS  # for fresh gauges before a timer of the decisions is told
     commands: int = 8192  # unconfirmed, before those that need not be sent again are looked for
@@ -87,6 +88,16 @@
         """Of dispatchers, at one time."""
         return max(1, self.sockets - self.spare_sockets - self.call_links - self.ending)
 
+    @property
+    def links(self) -> int:
+        """To the engine and the catalogue, at one time."""
+        return 2 + self.call_links
+
+    @property
+    def buffers(self) -> int:
+        """To read into: some connections and links end while others begin."""
+        return 2 * (self.connections + self.ending + self.links)
+
     @property
     def unread(self) -> int:
         """Bytes of answers that a dispatcher leaves unread: from there on we read no more from it."""
--- a/oakkeel/catalogue/links.py
+++ b/oakkeel/catalogue/links.py
@@ -13,7 +13,7 @@
 from oakkeel.interface import Outcome
 from oakkeel.lines import LineParser
 from oakkeel.log import Log
-from oakkeel.streams import BufferPool, Malformed, ReadBuffer, connect, send
+from oakkeel.streams import BufferPool, Malformed, ReadBuffer, connect, readable, send
 
 WITH_BODY = frozenset({(1, b"DATA")})
 REPLIES = {
@@ -175,11 +175,19 @@
         if self.address is None:
             return None
         usable = [link for link in self.links if not link.spent and link not in ex.call_links]
-        if free := [link for link in usable if not link.calls and link.connected]:
-            return max(free, key=lambda link: link.used)
+        free = [link for link in usable if not link.calls and link.connected]
+        for link in sorted(free, key=lambda link: link.used, reverse=True):
+            if not readable(link.stream.socket):
+                return link
+            link.spent = True  # its end, or bytes that no call is owed, came since the loop last looked
+            link.leave()
+            usable.remove(link)
         if len(self.links) < self.bounds.call_links:
-            self.links.append(CallLink(self.address, self.pool, self.bounds, self.log))
-            return self.links[-1]
+            try:
+                self.links.append(CallLink(self.address, self.pool, self.bounds, self.log))
+                return self.links[-1]
+            except (OSError, MemoryError) as error:  # no descriptor or buffer is left: a busy one takes it
+                self.log.say("a link to the catalogue can't be made", error=str(error))
         return min(usable, key=lambda link: len(link.calls), default=None)
 
     def _trim(self) -> None:
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -18,7 +18,7 @@
 from oakkeel.dispatch.resp import arrays
 from oakkeel.exchange import LiveExchange
 from oakkeel.log import Log
-from oakkeel.streams import BufferPool, HalfClosingStream, Malformed, ReadBuffer, send
+from oakkeel.streams import BufferPool, HalfClosingStream, Malformed, ReadBuffer, readable, send
 
 
 class Front(Protocol):
@@ -162,12 +162,12 @@
 
     def at_rest(self) -> bool:
         """Nothing is open on it, half read, unread or still to be sent: a close costs nobody anything."""
-        return not (self.open or self.unread or self.read_buffer.waiting or self._comes())
+        return not (self.open or self.unread or self.read_buffer.waiting or self.comes())
 
-    def _comes(self) -> bool:
+    def comes(self) -> bool:
         """Bytes or an end may be there that we have not read: in the kernel since the loop last looked, or in
         the stream while reading pauses."""
-        return not self.stream.reading() or _readable(self.stream.socket)
+        return not self.stream.reading() or readable(self.stream.socket)
 
     def end(self) -> None:
         """Take nothing more from it; it is shut down as soon as all on it is answered and on its way."""
@@ -181,9 +181,11 @@
         self._settled()
 
     def _settled(self) -> None:
-        """What an ending connection waits for may have happened."""
+        """What an ending connection waits for may have happened. One that broke has no socket any more: its
+        reader closes it, and may not have run yet."""
         self.moved.set()
-        if self.phase is Phase.ENDING and not self.open and not self.unread and not self.stream.ended:
+        if self.phase is Phase.ENDING and not (self.open or self.unread or self.stream.ended
+                                               or self.stream.closed()):
             self._linger()
 
     def _linger(self) -> None:
@@ -226,9 +228,9 @@
         that work. One that left half an array may still wait for answers to others."""
         if self.taken and now - self.taken > self.bounds.untaken:
             self.close()
-        elif self.awaited and now - self.awaited > self.bounds.silent and (
-                self.read_buffer.waiting or not self._comes()):
-            self._end()
+        elif self.awaited and (late := now - self.awaited - self.bounds.silent) > 0 and (
+                not self.comes() or self.read_buffer.waiting and late > self.bounds.sweep):
+            self._end()  # what just comes is read first, but at the second look it is a trickle
 
     # What comes.
 
@@ -343,13 +345,6 @@
         return self.sending + len(self.backlog)
 
 
-def _readable(opened: socket.socket) -> bool:
-    """Whether bytes or an end wait in the kernel: they may have come since the loop last looked."""
-    poll = select.poll()
-    poll.register(opened, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _hung_up(opened: socket.socket) -> bool:
     """Whether the other side has closed both ways, which it tells only once something was written to it."""
     poll = select.poll()
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -42,31 +42,22 @@
         if self.sweeper is None:
             self._sweep()
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Take no new connection: a refused one proves to its dispatcher that nothing ran. One that waits to
-        be accepted may carry an exchange that was read by the machine, and is owed its answer. All that wait
-        are taken off before any is looked at, and the socket is closed right behind the last: what comes
+        be accepted may carry an exchange that was read by the machine, and is owed its answer: all that wait
+        are accepted, a few at a time as ever, and the socket is closed right behind the last, as what comes
         between is reset. They are no more than the kernel lets wait: a flood would keep us here for good."""
+        for _ in range(BACKLOG // self.bounds.accepts + 1):
+            if self.accepting and not self.resume and not self._accept_some() and not self.resume:
+                break
+            # Connections that made room end in the next pass, and give back what the next ones need.
+            await asyncio.sleep(self.bounds.accept_again / SECOND if self.resume else 0)
         if self.accepting:
             asyncio.get_running_loop().remove_reader(self.socket)
             self.accepting = False
-            if self.resume:
-                self.resume.cancel()
-                self.resume = None
-            waiting: list[socket.socket] = []
-            for _ in range(BACKLOG):
-                try:
-                    waiting.append(self.socket.accept()[0])
-                except BlockingIOError:
-                    break
-                except OSError as error:
-                    if error.errno in NO_DESCRIPTOR and not waiting and not self._make_room():
-                        break
-                while waiting and len(self.connections) + len(waiting) >= self.bounds.connections:
-                    self._accept(waiting.pop(0))
-            self.socket.close()
-            for accepted in waiting:
-                self._accept(accepted)
+        if self.resume:
+            self.resume.cancel()
+            self.resume = None
         self.socket.close()
 
     def reopen(self) -> None:
@@ -75,14 +66,16 @@
             self.socket = _bind(self.address)
             self.open()
 
-    def _accept_some(self) -> None:
+    def _accept_some(self) -> bool:
         """Accept a few: in a flood of connections the rest waits for the next pass of the loop, behind all
-        that the connections at work have brought by then."""
+        that the connections at work have brought by then. Returns whether more may wait."""
         for _ in range(self.bounds.accepts):
+            if self.pool.spare <= 2 * self.bounds.links:  # those of the links are not for dispatchers
+                return self._pause()
             try:
                 accepted, _ = self.socket.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
                 if error.errno not in NO_DESCRIPTOR:
                     continue  # this one was reset before it was accepted; those behind it were not
@@ -91,12 +84,15 @@
                     return self._pause()
                 continue
             self._accept(accepted)
+        return True
 
-    def _pause(self) -> None:
-        """No descriptor is to be had: the socket would wake the loop again and again for nothing."""
+    def _pause(self) -> bool:
+        """No descriptor or buffer is to be had: the socket would wake the loop for nothing, again and again.
+        More may wait."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.socket)
         self.resume = loop.call_later(self.bounds.accept_again / SECOND, self._resume)
+        return True
 
     def _resume(self) -> None:
         self.resume = None
@@ -130,7 +126,7 @@
             if connection.at_rest():
                 break
         else:
-            half = [each for each in old if not each.open and not each.unread]
+            half = [each for each in old if not (each.open or each.unread or each.comes())]
             if not half:
                 return False
             connection = half[0]
@@ -163,10 +159,10 @@
 
     def _sweep(self) -> None:
         """End what is overdue, again and again."""
+        self.sweeper = asyncio.get_running_loop().call_later(self.bounds.sweep / SECOND, self._sweep)
         now = time.monotonic_ns()
         for connection in list(self.connections):
             connection.overdue(now)
-        self.sweeper = asyncio.get_running_loop().call_later(self.bounds.sweep / SECOND, self._sweep)
 
     def last(self) -> None:
         for connection in list(self.connections):
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -81,11 +81,13 @@
         self.tags = count(1)
         self.heard = 0  # the number of the last notice read
         self.up = False  # the engine has said how it started
+        self.attached_at = 0  # on this link
+        self.began = 0  # the latest time at which the engine can have begun, by what it said
         self.barrier, self.barrier_at = b"", 0  # the tag of the gauges that end the taking up of a link
         self.swap = b""  # the tag of the gauges that end an old link
         self.stream: IOStream | None = None
         self.trying: IOStream | None = None  # the same from before it is connected
-        self.patience: asyncio.TimerHandle  # ends a link that is not taken, or whose HELLO does not come
+        self.patience: asyncio.TimerHandle | None = None  # ends a link that is not taken, or not greeted
         self.open = False  # attached, and all that was missed is read
         self.losses = 0
 
@@ -93,18 +95,17 @@
         """Attach and read, again and again."""
         loop = asyncio.get_running_loop()
         while True:
-            tried = time.monotonic_ns()
-            stream = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
-            read_buffer = ReadBuffer(self.pool)
-            self.trying = stream
+            tried, read_buffer = time.monotonic_ns(), None
             # An address may take the connection and say nothing, or not even take it, for as long as TCP has
             # patience. An engine that was never up may hold its HELLO back for as long as it likes.
-            self.patience = loop.call_later(self.bounds.engine_silent / SECOND, stream.close)
             try:
+                stream = self.trying = IOStream(socket.socket(), max_write_buffer_size=self.bounds.backlog)
+                read_buffer = ReadBuffer(self.pool)
+                self.patience = loop.call_later(self.bounds.engine_silent / SECOND, stream.close)
                 await connect(stream, self.address)
-                if not self.up:
+                if not self.up and self.patience:
                     self.patience.cancel()
-                self.stream = stream
+                self.stream, self.attached_at = stream, time.monotonic_ns()
                 send(stream, b"ATTACH %d\r\n" % self.heard)
                 parser = LineParser(read_buffer, WITH_BODY, self.bounds.words)
                 while True:
@@ -119,10 +120,13 @@
             except Exception as error:  # a node without its engine's notices would answer nothing more
                 self.log.say("the engine's link failed", error=fault(error))
             finally:
-                self.patience.cancel()
-                stream.close()
-                read_buffer.close()
-                if self.stream is stream and not self.swap:
+                if self.patience:
+                    self.patience.cancel()
+                if self.trying:
+                    self.trying.close()
+                if read_buffer:
+                    read_buffer.close()
+                if self.stream and not self.swap:
                     self.losses += 1
                     self.log.say("the engine's link is lost")
                 self.stream, self.open, self.barrier, self.swap = None, False, b"", b""
@@ -252,14 +256,35 @@
 
     def _hello(self, state: bytes, age: int) -> None:
         """Attached: what was missed follows, and the answer to a STAT sent now comes after all of it."""
-        self.patience.cancel()
+        if self.patience:
+            self.patience.cancel()
+        latest = time.monotonic_ns() - age
         if not self.up:
-            self.up = True
+            self.up, self.began = True, latest
+            self.started(state == b"booting", age)
+        elif self.attached_at - age > self.began + self.bounds.engine_anew:
+            self.began = latest
             self.started(state == b"booting", age)
+            return self._lose_runs()
+        self.began = min(self.began, latest)
         self.barrier, self.barrier_at = b"b%d" % next(self.tags), time.monotonic_ns()
         if self.stream:
             send(self.stream, b"STAT %s\r\n" % self.barrier)
 
+    def _lose_runs(self) -> None:
+        """The engine began anew: it knows of nothing that was told to the one before, and numbers its notices
+        from 1 again. What that one may have run is over with no result; what it was never told waits."""
+        waiting = {each.ex for each in self.unconfirmed if each.verb == b"RUN" and not each.written}
+        self.log.say("the engine began anew", runs_lost=len(self.runs) - len(waiting))
+        self.unconfirmed = deque(command for command in self.unconfirmed if command.ex in waiting)
+        self.doubtful.clear()
+        self.heard = 0
+        for ident, ex in list(self.runs.items()):
+            if ex not in waiting:
+                self._done(ident, Outcome.ERROR, 0, b"")
+        if self.stream:
+            self.stream.close()  # that one was told of notices that this one never sent
+
     def _stats(self, tag: bytes, values: list[float]) -> None:
         if not all(0 <= value < 1e12 for value in values):
             raise Malformed(f"gauges {values}")  # the decisions would go by them
--- a/oakkeel/node/assembly.py
+++ b/oakkeel/node/assembly.py
@@ -36,9 +36,7 @@
         self.start, self.bounds = start, bounds
         self.log = Log(start.name, bounds.log_lines, start.log_form)
         self.measures = Measures()
-        links = 2 + bounds.call_links
-        buffers = 2 * (bounds.connections + bounds.ending + links)  # some end while others begin
-        self.pool = BufferPool(bounds.buffer_size, buffers)
+        self.pool = BufferPool(bounds.buffer_size, bounds.buffers)
         self.reader: ExchangeReader | None = None
         self.open: dict[bytes, asyncio.Task] = {}  # by the ids of their exchanges
         self.came_up: tuple[bool, int, int] | None = None  # the engine, while the node was leaving
@@ -93,6 +91,8 @@
         self.log.say("left")
 
     def _engine_up(self, cold: bool, age: int) -> None:
+        if self.host.begun:
+            return self.host.begin_anew(cold, age)
         if self.draining:  # it leaves without having taken anything, or is told to stay after all
             self.came_up = (cold, age, time.monotonic_ns())
             return
--- a/oakkeel/node/drain.py
+++ b/oakkeel/node/drain.py
@@ -101,7 +101,7 @@
             node.listener.last()
             await asyncio.sleep(self.grace / SECOND)
         self._move(Leaving.EMPTYING)
-        node.listener.close()
+        await node.listener.close()
         node.listener.last()
         await node.listener.gone()  # each ends only when all on it is answered and on its way
         self._move(Leaving.ENDED)
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -44,6 +44,12 @@
         # Each exchange that it names is one that we gave it, a LiveExchange.
         self.keel = Keel(self, limits, self.start.seed, started)  # type: ignore[arg-type]
 
+    def begin_anew(self, cold: bool, age: int) -> None:
+        """Another engine is up in the place of the first: the node is as cold as that is."""
+        if cold:
+            self.start.limits.cold = True
+            self.keel.started = time.monotonic_ns() - age
+
     def tell(self, act: Callable[..., None], *words: object) -> None:
         """Tell the decisions what happened; they settle once for what one pass of the loop brought."""
         act(time.monotonic_ns(), *words)
--- a/oakkeel/standins/engine.py
+++ b/oakkeel/standins/engine.py
@@ -26,6 +26,7 @@
         self.replies: dict[bytes, asyncio.Future] = {}
         self.notices: deque[tuple[int, bytes]] = deque(maxlen=NOTICES)
         self.number = 0
+        self.started_at = time.monotonic() - 60  # it says that it is an old one
         self.on_cores = 0
         self.lost_at = 0.0  # when a link ended last
         self.started: dict[bytes, int] = {}  # how often each run was begun: more than once is a double effect
@@ -74,7 +75,7 @@
             if self.link:
                 self.link.close()
             self.link = writer
-            self._say(b"HELLO steady 60000\r\n")
+            self._say(b"HELLO steady %d\r\n" % ((time.monotonic() - self.started_at) * 1000))
             for number, notice in list(self.notices):
                 if number > int(line[1]):
                     self._say(notice)
--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
@@ -19,6 +20,11 @@
         self.size, self.left = size, most
         self.free: list[bytearray] = []
 
+    @property
+    def spare(self) -> int:
+        """How many may still be leased."""
+        return self.left + len(self.free)
+
     def lease(self) -> bytearray:
         if self.free:
             return self.free.pop()
@@ -92,6 +98,13 @@
         return real
 
 
+def readable(opened: socket.socket) -> bool:
+    """Whether bytes or an end wait in the kernel: they may have come since the loop last looked."""
+    poll = select.poll()
+    poll.register(opened, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def connect(stream: IOStream, address: tuple[str, int]) -> None:
     """Raises StreamClosedError where it can't be reached, or was closed meanwhile."""
     await stream.connect(address)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -342,6 +342,7 @@
         """A new engine, catalogue and directory; returns the old ones."""
         old = self.engine, self.catalogue, self.directory
         self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
+        self.engine.begun = old[0].begun  # the same engine at another address
         self.directory = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.directory.bind(("127.0.0.1", 0))
         self.directory.settimeout(WAIT)
