--- a/oakkeel/bounds.py
+++ b/oakkeel/bounds.py
@@ -69,9 +69,9 @@
     pulse_again: int = 60 * MS  # after a change, which is told
     pulse_times: int = 3  # so often at this pace
 
-    # What is kept for repeats.
-    kept_size: int = 16 * 1024  # a kept key and its result, at the most
-    kept_share: float = 0.25  # of the process's memory
+    # The result cache, for repeats.
+    result_size: int = 16 * 1024  # a key and its result, at the most
+    results_share: float = 0.25  # of the process's memory
 
     # Control links, where there are any.
     control_links: int = 4
@@ -104,6 +104,6 @@
         return int(self.memory * self.unread_share) // self.connections
 
     @property
-    def kept(self) -> int:
+    def results(self) -> int:
         """Keys remembered at one time."""
-        return max(1, int(self.memory * self.kept_share) // self.kept_size)
+        return max(1, int(self.memory * self.results_share) // self.result_size)
--- a/oakkeel/exchange.py
+++ b/oakkeel/exchange.py
@@ -48,8 +48,8 @@
     call: Any = None  # the call in flight
     unknown: bool = False  # the engine knows no such exchange
     call_links: list = field(default_factory=list)  # on which calls of its were placed
-    earlier: Any = None  # what is kept of the exchange that it repeats
-    cached: Any = None  # what is kept of itself
+    earlier: Any = None  # the cached result of the exchange that it repeats
+    cached: Any = None  # its own cached result
     events: deque = field(default_factory=deque)
     waiter: asyncio.Future | None = None
 
--- a/oakkeel/interface.py
+++ b/oakkeel/interface.py
@@ -172,7 +172,7 @@
     rank: float = 0.0
     calls_failed: int = 0
     call_commit: int = 0  # call time booked for a call in flight
-    kept: bool = False
+    remembered: bool = False
 
     who: tuple[tuple[int, bytes],
                ...] = ()  # its senders by level, as keys and labels; told where shares are fair
--- a/oakkeel/node/results.py
+++ b/oakkeel/node/results.py
@@ -54,7 +54,7 @@
 
     def __init__(self, bounds: Bounds, fresh: int) -> None:
         """`fresh`: nanoseconds for which the result of a read may serve others."""
-        self.most, self.fresh = bounds.kept, fresh
+        self.most, self.fresh = bounds.results, fresh
         self.results: dict[Key, CachedResult] = {}
 
     def find(self, ex: LiveExchange, now: int) -> bool:
--- a/oakkeel/policy/ladder.py
+++ b/oakkeel/policy/ladder.py
@@ -294,8 +294,8 @@
         if self.fair and self.limits.max_retry_after and not self.stop_at:
             after = self.fair.return_after(self.now, ex, self.limits.max_retry_after)
         self.host.deny(ex, last, after)
-        if ex.kept:
-            ex.kept = False
+        if ex.remembered:
+            ex.remembered = False
             self.host.forget(ex)
         self._move(ex, State.OVER)
 
@@ -345,7 +345,7 @@
         """Keep its key: through its time and as long after as its answer may serve."""
         duration = ex.group.window if ex.group.once else max(0, ex.give_up_at - self.now) + self.limits.fresh
         self.host.remember(ex, duration)
-        ex.kept = True
+        ex.remembered = True
         self.memory_kb += self.limits.key_kb
         heappush(self.keys, self.now + duration)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -436,7 +436,7 @@
         self.assertFalse(kept.find(exchange(mark=b"s"), 0))
 
     def test_what_is_kept_is_bounded_and_a_key_that_must_not_run_twice_is_never_dropped(self):
-        bounds = replace(BOUNDS, memory=4 * BOUNDS.kept_size * 2)  # room for two
+        bounds = replace(BOUNDS, memory=4 * BOUNDS.result_size * 2)  # room for two
         once = replace(GROUP, effect=FakeHost(groups=[{}]).limits.groups[0].effect.__class__.DEDUPLICATED)
         kept = ResultCache(bounds, SECOND)
         kept.remember(exchange(mark=b"a", group=once), 0, SECOND)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -47,7 +47,7 @@
 
     def test_one_that_came_in_time_is_known_however_full_the_table_is_when_it_is_read(self):
         # A full table was swept of entries whose window was over, and the late one ran a second time.
-        results = self.results = ResultCache(replace(BOUNDS, memory=4 * BOUNDS.kept_size), 0)
+        results = self.results = ResultCache(replace(BOUNDS, memory=4 * BOUNDS.result_size), 0)
         self.remembered()
         later = NOW + SECOND + 400 * MS
         self.assertTrue(results.full(later))
