Force four crossings more: halves round a signal, two steps of an end, one write, half a reply

A signal between the halves of exchanges, one whole within the grace and one after it; a connection that comes between two steps of the end of listening; two of one key in one write; a reply of the catalogue that is cut in half.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -537,6 +537,20 @@
             self.assertTrue(await waiting[2].read())
         self.assertRaises(ConnectionRefusedError, self.caller)
 
+    async def test_one_that_comes_between_two_steps_of_the_end_of_listening_is_served(self):
+        waiting = [self.caller() for _ in range(5 * self.bounds.accepts)]
+        closing = asyncio.ensure_future(self.listener.close())
+        await asyncio.sleep(0)  # the first step is done
+        self.assertLess(len(self.listener.connections), len(waiting))
+        self.assertFalse(closing.done())
+        late = self.caller()
+        late.send(call(1))
+        await asyncio.wait_for(closing, WAIT)
+        await self.until(lambda: self.arrived_here)
+        self.answer()
+        self.assertEqual((await late.until(1))[1], b"ok")
+        self.assertEqual(len(self.listener.connections), len(waiting) + 1)
+
     async def test_an_accept_that_fails_costs_none_of_those_behind_it(self):
         # It ended the accepting, and the close reset the rest.
         waiting = [self.caller() for _ in range(3)]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -214,6 +214,14 @@
         reader, _ = await asyncio.wait_for(self.peers.get(), WAIT)
         self.assertTrue((await reader.readline()).startswith(b"FETCH"))
 
+    async def test_a_reply_that_is_cut_in_half_proves_nothing_and_ends_its_link(self):
+        ex = exchange()
+        self.catalogue.fetch(ex, time.monotonic_ns() + 20 * SECOND, b"")
+        _, writer = await asyncio.wait_for(self.peers.get(), WAIT)
+        writer.write(b"%s DATA 10\r\nhalf" % ex.ident)
+        self.assertEqual((await asyncio.wait_for(ex.hear(), WAIT))[1], Outcome.RESET)
+        self.assertTrue(self.catalogue.links[0].stream.closed())
+
     async def test_a_link_that_the_catalogue_closed_unseen_takes_no_call(self):
         # Its end was in the kernel already: the call was told as reset, though nobody ever read it.
         ex, first = await self._replied()
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 
 from oakkeel.bounds import MS, SECOND
 from oakkeel.dispatch.codec import ExchangeReader
@@ -200,6 +201,18 @@
         self.assertEqual([two.answer()[::3] for _ in range(3)], [(1, b"once"), (2, b"once"), (3, b"once")])
         self.assertTrue(self.engine.commands.empty())
 
+    def test_two_at_once_in_one_write_take_one_run(self):
+        one, _ = self.begun()
+        sent = []
+        one.socket = SimpleNamespace(sendall=sent.append, close=one.socket.close, real=one.socket)
+        first = self.order(one)
+        self.order(one)
+        one.socket.real.sendall(b"".join(sent))
+        self.runs(first)
+        self.engine.done(first, body=b"once")
+        self.assertEqual([one.answer()[::3] for _ in range(2)], [(1, b"once"), (2, b"once")])
+        self.assertTrue(self.engine.commands.empty())
+
     def test_followers_of_one_whose_caller_goes_while_it_is_held_are_denied_with_when_to_return(self):
         # They were told that it failed, as if it might have run.
         one, two, busy = self.filled()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -113,6 +113,33 @@
         dispatcher.close()
         self.assertEqual(self.process.wait(WAIT), 0)
 
+    def test_a_signal_between_the_halves_of_exchanges_serves_what_is_whole_within_the_grace(self):
+        self.begin()
+        pairs = [self.dispatcher() for _ in range(2)]
+        for each in pairs:
+            each.socket.sendall(self.whole()[:20])
+            seen = self.dispatcher()  # the loop has looked since
+            seen.send("CHECK", "1", "")
+            self.assertEqual(seen.answer()[1], b"yes")
+        self.process.send_signal(signal.SIGTERM)
+        for each in pairs:
+            self.assertEqual(each.next(), [b"0", b"last"])
+        pairs[0].socket.sendall(self.whole()[20:])
+        ident = self.engine.next()[1]
+        until_refused(self.port)  # the grace ends
+        pairs[1].socket.sendall(self.whole()[20:])
+        self.assertEqual(pairs[1].answer()[:2], (1, b"full"))
+        self.engine.done(ident)
+        self.assertEqual(pairs[0].answer()[:2], (1, b"ok"))
+        for each in pairs:
+            each.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def whole(self) -> bytes:
+        """An exchange that comes now; its first 20 bytes are always the same."""
+        fields = b"req=%016x,ts=%d,need=1,timeout=9000" % (time.time_ns(), time.time_ns() // MS)
+        return encode(b"CALL", b"1", b"quote", fields, b"body")
+
     def test_a_signal_to_leave_during_a_move_of_the_engine_loses_nothing(self):
         dispatcher, ident = self.running("card")
         self.replace_parties()
