--- a/oakkeel/streams.py
+++ b/oakkeel/streams.py
@@ -92,8 +92,8 @@
         return count
 
     def close(self, exc_info: Any = False) -> None:
-        """`error` tells what it broke of, without the frames: these hold the stream and what it read into, and
-        such a circle lay in memory until the collector came by."""
+        """`error` tells what it broke of, without the frames: these hold the stream and what it read into,
+        and such a circle lay in memory until the collector came by."""
         super().close(exc_info)
         if self.error is not None:
             self.error.__traceback__ = None
