--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,6 +1,5 @@
 """Stories of repeats: what is known of an exchange before, for how long, and who may have its result."""
 
-import time
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -258,7 +257,7 @@
     def test_one_whose_window_is_over_runs_again_also_beside_the_first(self):
         self.begin(settings=self.short_window())
         one, two = self.dispatcher(), self.dispatcher()
-        first = self.order(one, age=100)  # it came 100 ms ago, so its window of 1 ms was over when it was read
+        first = self.order(one, age=100)  # 100 ms ago: the window of 1 ms is over
         self.runs(first)
         late = self.order(two)
         self.runs(late)
