Let three stories of untaken answers share one set-up

Cause: the same eight lines stood three times in tests/test_crossings.py, and only two of them asked whether answers were left to send. Change: DoorStory.stuck, which asks always.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -159,6 +159,18 @@
         await self.until(connection.at_rest)
         return caller, connection
 
+    async def stuck(self) -> tuple[Caller, Connection]:
+        """One with more answers than it has taken: some are still to be sent."""
+        caller, connection = await self.connected(size=4096)
+        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        for tag in range(1, 31):
+            caller.send(call(tag))
+        await self.until(lambda: len(self.arrived_here) == 30)
+        for _ in range(30):
+            self.answer(bytes(4096))
+        self.assertTrue(connection.unread)
+        return caller, connection
+
     def answer(self, body: bytes = b"result") -> None:
         ex = self.arrived_here.pop(0)
         ex.connection.answer(ex, codec.COMPLETED, body)
@@ -230,14 +242,7 @@
         self.assertEqual((await caller.end())[1:], [LAST])
 
     async def test_answers_that_are_still_to_be_sent_keep_the_connection(self):
-        caller, connection = await self.connected(size=4096)
-        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        for tag in range(1, 31):
-            caller.send(call(tag))
-        await self.until(lambda: len(self.arrived_here) == 30)
-        for _ in range(30):
-            self.answer(bytes(4096))
-        self.assertTrue(connection.unread)
+        caller, connection = await self.stuck()
         connection.leave()
         connection._rested(SECOND)
         connection.end()
@@ -395,13 +400,7 @@
         self.assertEqual((await caller.until(1))[1], b"ok")
 
     async def test_one_that_takes_nothing_is_closed_in_the_end(self):
-        caller, connection = await self.connected(size=4096)
-        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        for tag in range(1, 31):
-            caller.send(call(tag))
-        await self.until(lambda: len(self.arrived_here) == 30)
-        for _ in range(30):
-            self.answer(bytes(4096))
+        caller, connection = await self.stuck()
         connection.overdue(time.monotonic_ns() + 11 * SECOND)
         await self.until(lambda: connection.phase is Phase.CLOSED)
 
@@ -642,14 +641,7 @@
         # The drain waited for them, and the kill found the node waiting.
         self.done = asyncio.Event()
         _, resting = await self.rested()
-        stuck, held = await self.connected(size=4096)
-        held.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        for tag in range(1, 31):
-            stuck.send(call(tag))
-        await self.until(lambda: len(self.arrived_here) == 30)
-        for _ in range(30):
-            self.answer(bytes(4096))
-        self.assertTrue(held.unread)
+        _, held = await self.stuck()
         drain = Drain(self, grace=0, stop_after=300 * MS)
         drain.leave()
         await asyncio.wait_for(self.done.wait(), WAIT)
