Let the stand-ins end quietly after the record is closed

Cause: a run of the stand-in engine could end after the record was closed, and printed a traceback. Change: nothing is written to a closed record.

--- a/review/standins.py
+++ b/review/standins.py
@@ -85,7 +85,7 @@
 
     def log(self, text):
         line = f"{time.time() - self.started_at:9.3f} {text}"
-        if self.record:
+        if self.record and not self.record.closed:
             self.record.write(line + "\n")
 
     def add(self, *args, **named):
