--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 REQUESTS_PER_S = 48  # of all dispatchers; six cores can do about 80
 BREAK_EVERY_S = (0.8, 2.0)
 LOST_S = 0.0  # this test loses no command with a break: the page allows the loss of the last 50 ms
-PIECE_GAP_S = 0.02  # between two pieces
+PIECE_GAP_S = 0.005  # between two pieces
 # Group, share, async timeout, mean work in seconds, share of requests with a second call, of those with a first.
 GROUPS = (
     (b"snippet", 0.41, 5.4, 0.36, 0.4, 1.0),  # 1.4 calls on average
