Let the cases exit with 2 whatever stops them early, and end their node

Cause: an error of a script ended it with 1, which would read as a broken rule, and its time limit left the node running.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 import sites
-from standins import LOST, OPEN, Catalogue, Connection, Directory, Engine, Node, World
+from standins import LOST, OPEN, Catalogue, Connection, Directory, Engine, Node, World, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DURATION_S = 75
@@ -113,4 +113,4 @@
         return 1 if len(whole) > ALLOWED_SHARE * len(sent) else 0
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 import sites
-from standins import LOST, OPEN, Catalogue, Connection, Directory, Engine, Node, World, encode, read_array
+from standins import LOST, OPEN, Catalogue, Connection, Directory, Engine, Node, World, encode, read_array, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DURATION_S = 40
@@ -121,4 +121,4 @@
         return 1 if "ok" in answers else 0
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 MS = 1_000_000
@@ -452,3 +453,14 @@
     def log_text(self):
         with open(self.log_path, errors="replace") as file:
             return file.read()
+
+
+def run_case(main):
+    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # `finally` then ends the node
+    try:
+        code = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
