Never give a run a reply again whose FEED the engine may have read

Cause: EngineLink._reattach sent each FEED again that no later notice confirmed. The engine may have read the first one, and the run may ask for its next call between the answer to the STAT and the second FEED, which names no call. Ruled out: the catalogue (one reply a call in the record), doubled notices (dropped by number).

Change: Command.loss_effect calls a written FEED without a later notice uncertain; it is not sent again. Admission decides what follows (step_after_uncertain_reply): an optional call is skipped, as SKIP names its call; an idempotent request that needs the reply is rejected at once with a retry time; an at-most-once run goes on to its deadline. A log line tells of it. At the limit of unconfirmed commands an uncertain RUN is kept now; it was dropped, and a lost run would have counted as running for good.

--- a/oakkeel/admission/call_sequence.py
+++ b/oakkeel/admission/call_sequence.py
@@ -6,8 +6,10 @@
 
 from oakkeel.admission.downstream_calls import (
     FailedCallStep,
+    UncertainReplyStep,
     max_optional_call_wait,
     step_after_failed_call,
+    step_after_uncertain_reply,
 )
 from oakkeel.admission.node_state import NodeState
 from oakkeel.admission.request_ends import RequestEnds
@@ -55,6 +57,16 @@
         else:
             self.request_ends.end_without_result(now, request)
 
+    def reply_uncertain(self, now: int, request: Request) -> None:
+        """Skip the call whose reply may be lost, end the request, or wait for the run."""
+        if request.state is not State.RUNNING:
+            return
+        step = step_after_uncertain_reply(request)
+        if step is UncertainReplyStep.SKIP:
+            self.node.host.skip_call(request)
+        elif step is UncertainReplyStep.REJECT:
+            self.request_ends.reject_run(now, request)
+
     def issue_waiting(self, now: int) -> None:
         """Issue the waiting calls that the breaker and the quota now allow."""
         while self.waiting_requests and self._issue(now, self.waiting_requests[0]):
--- a/oakkeel/admission/controller.py
+++ b/oakkeel/admission/controller.py
@@ -182,6 +182,10 @@
         """Resume the run after a downstream call, or retry the call, skip it or fail the request."""
         self.call_sequence.call_finished(now, request, outcome)
 
+    def call_reply_uncertain(self, now: int, request: Request) -> None:
+        """Act on a run that may not have received the reply of its last call."""
+        self.call_sequence.reply_uncertain(now, request)
+
     def run_finished(self, now: int, request: Request, outcome: Outcome) -> None:
         """Finish a request after the end of its run, or of the run that it was coalesced with."""
         state = request.state
--- a/oakkeel/admission/downstream_calls.py
+++ b/oakkeel/admission/downstream_calls.py
@@ -31,6 +31,26 @@
     FAIL = auto()
 
 
+class UncertainReplyStep(Enum):
+    """The step of a run that may not have received the reply of its call."""
+
+    SKIP = auto()  # continue without the reply, if the run still waits for it
+    REJECT = auto()  # stop the run, and let the client retry at once
+    WAIT = auto()  # until the run continues or its deadline passes
+
+
+def step_after_uncertain_reply(request: Request) -> UncertainReplyStep:
+    """Return the step after a reply that may be lost: the reply can't be given again.
+
+    The run may have received it and may wait for its next call, which would get the reply of the earlier one.
+    To skip a call is safe, as it names the call. An at-most-once run is left alone: stopped, it could not be
+    retried.
+    """
+    if request.request_class.is_call_optional:
+        return UncertainReplyStep.SKIP
+    return UncertainReplyStep.WAIT if request.request_class.at_most_once else UncertainReplyStep.REJECT
+
+
 def step_after_failed_call(request: Request, outcome: Outcome) -> FailedCallStep:
     """Return the step after a failed call: a retry only where no call may take effect twice.
 
--- a/oakkeel/admission/request_ends.py
+++ b/oakkeel/admission/request_ends.py
@@ -40,6 +40,11 @@
             return node.fair_sharing.reserve_retry(now, request, node.limits.max_retry_after)
         return node.retry_after()
 
+    def reject_run(self, now: int, request: Request) -> None:
+        """Reject an idempotent request that has started, and stop its work; another node may serve it."""
+        self._answer_rejected(request, Rejection.RETRY_ON_OTHER_NODE, self.node.retry_after())
+        self.abandon(now, request)
+
     def end_without_result(self, now: int, request: Request) -> None:
         """Answer a request that gets no result, unless it is answered already, and stop its work.
 
--- a/oakkeel/engine/commands.py
+++ b/oakkeel/engine/commands.py
@@ -5,12 +5,21 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum, auto
 
-from oakkeel.engine.verbs import HALT, RUN
+from oakkeel.engine.verbs import FEED, HALT, RUN
 from oakkeel.request import NodeRequest
 from oakkeel.resource_limits import ResourceLimits
 
 
+class LossEffect(Enum):
+    """What the loss of a connection means for a command that was made before it."""
+
+    NONE = auto()  # the engine has carried it out, or its run is over
+    RESEND = auto()  # it may be lost, and sending it twice has the effect of sending it once
+    UNCERTAIN = auto()  # it may be lost, but sent twice it could act on a later step of the run
+
+
 @dataclass(slots=True, eq=False)
 class Command:
     """A command that the engine is not yet known to have read."""
@@ -21,30 +30,23 @@
     last_notice_number: int = 0  # number of the last notice for the request when the command was made
     is_written: bool = False  # to the stream of a connection
 
-    def must_resend(self) -> bool:
-        """Return whether the command has to be sent again on a new connection.
+    def loss_effect(self) -> LossEffect:
+        """Return what a loss of the connection means for this command.
 
-        A later notice for the request proves that a RUN, FEED or SKIP was carried out. An at-most-once run is
-        sent again only if its RUN was never written: otherwise the engine may have read it.
+        A later notice for the request proves that a RUN, FEED or SKIP was carried out. Without that proof the
+        engine may have read a written command. A second RUN of an at-most-once run could run it twice, and a
+        second FEED answers whichever call the run waits for by then: FEED, unlike SKIP, names no call.
         """
         request = self.request
         if request is None or not request.in_engine:
-            return False
+            return LossEffect.NONE
         if self.verb == HALT or not self.is_written:
-            return True
-        return self.last_notice_number == request.last_notice_number and not self.is_uncertain()
-
-    def is_uncertain(self) -> bool:
-        """Return whether this is the RUN of an at-most-once run that the engine may or may not have read."""
-        request = self.request
-        return bool(
-            request
-            and request.in_engine
-            and self.is_written
-            and self.verb == RUN
-            and request.request_class.at_most_once
-            and self.last_notice_number == request.last_notice_number
-        )
+            return LossEffect.RESEND
+        if self.last_notice_number != request.last_notice_number:
+            return LossEffect.NONE
+        if self.verb == FEED or (self.verb == RUN and request.request_class.at_most_once):
+            return LossEffect.UNCERTAIN
+        return LossEffect.RESEND
 
 
 @dataclass(slots=True, eq=False)
@@ -56,6 +58,14 @@
     sent_at: int  # nanoseconds of the monotonic clock
 
 
+@dataclass(frozen=True, slots=True)
+class UncertainReply:
+    """A reply to a call that the engine may or may not have read before the loss of a connection."""
+
+    request: NodeRequest
+    notice_number: int  # of the notice that asked for the call
+
+
 class UnconfirmedCommands:
     """Commands in the order of their writes, until gauges confirm that the engine has read them."""
 
@@ -72,7 +82,11 @@
     def add(self, command: Command) -> None:
         """Append a command; at the limit, drop the commands that need no resend."""
         if len(self.commands) >= self.resource_limits.max_unconfirmed_commands:
-            self.commands = deque(old for old in self.commands if old.request is None or old.must_resend())
+            self.commands = deque(
+                old
+                for old in self.commands
+                if old.request is None or old.loss_effect() is not LossEffect.NONE
+            )
         self.commands.append(command)
 
     def confirm(self, marker: Command, now: int) -> None:
@@ -104,14 +118,24 @@
         self.uncertain_runs.clear()
         return unwritten
 
-    def prepare_resend(self) -> deque[Command]:
-        """Return the commands to send on a new connection, after all missed notices were read."""
+    def prepare_resend(self) -> list[UncertainReply]:
+        """Keep the commands to send on a new connection, after all missed notices were read.
+
+        Returns the replies to calls that may be lost with the earlier connection.
+        """
         self.confirmations.clear()
+        uncertain = [command for command in self.commands if command.loss_effect() is LossEffect.UNCERTAIN]
+        self.commands = deque(
+            command for command in self.commands if command.loss_effect() is LossEffect.RESEND
+        )
         self.uncertain_runs |= {
-            command.request: 0 for command in self.commands if command.request and command.is_uncertain()
+            command.request: 0 for command in uncertain if command.request and command.verb == RUN
         }
-        self.commands = deque(command for command in self.commands if command.must_resend())
-        return self.commands
+        return [
+            UncertainReply(command.request, command.last_notice_number)
+            for command in uncertain
+            if command.request and command.verb == FEED
+        ]
 
     def take_overdue_runs(self, now: int) -> list[NodeRequest]:
         """Remove and return the uncertain runs whose requests were answered longer than a timeout ago."""
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -16,6 +16,7 @@
 from oakkeel.line_protocol import LineParser
 from oakkeel.log import EventLog, describe_error
 from oakkeel.request import NodeRequest
+from oakkeel.request_events import CallReplyUncertain
 from oakkeel.resource_limits import ResourceLimits
 from oakkeel.stream_buffers import BufferPool, MalformedInputError, ReadBuffer, connect, send
 from oakkeel.units import SECOND
@@ -283,7 +284,11 @@
     def _reattach(self) -> None:
         """Open the link and resend the lost commands, after all missed notices were read."""
         self.gauge_requests.clear()  # the callers that wait for lost gauges have a timeout
-        commands = self.unconfirmed.prepare_resend()
+        uncertain_replies = self.unconfirmed.prepare_resend()
         self.is_open = True
-        for command in commands:
+        for command in self.unconfirmed.commands:
             self._write(command)
+        if uncertain_replies:
+            self.log.warning("engine_call_replies_uncertain", count=len(uncertain_replies))
+        for reply in uncertain_replies:
+            reply.request.post(CallReplyUncertain(reply.notice_number))
--- a/oakkeel/node/request_handler.py
+++ b/oakkeel/node/request_handler.py
@@ -16,6 +16,7 @@
     AwaitSharedResponse,
     CallFinished,
     CallNeeded,
+    CallReplyUncertain,
     CancelRun,
     ClientDisconnected,
     FailRequest,
@@ -131,8 +132,8 @@
     async def _next_event(self, request: NodeRequest) -> RequestEvent | RequestReleased:
         """Wait for the next event that the caller must handle.
 
-        Early answers, cancelled runs and disconnected clients are handled here. Returns `RELEASED` if the
-        request has finished and the engine no longer runs it.
+        Early answers, cancelled runs, uncertain replies and disconnected clients are handled here. Returns
+        `RELEASED` if the request has finished and the engine no longer runs it.
         """
         while True:
             if request.state is RequestState.FINISHED and not request.in_engine and not request.events:
@@ -146,6 +147,10 @@
                 self.engine.cancel_run(request)
             elif isinstance(event, ClientDisconnected):
                 self.host.notify(self.host.admission.client_disconnected, request)
+            elif isinstance(event, CallReplyUncertain):
+                # A later notice would prove that the run received the reply.
+                if request.in_engine and event.notice_number == request.last_notice_number:
+                    self.host.notify(self.host.admission.call_reply_uncertain, request)
             else:
                 return event
             if not request.awaits_answer:
--- a/oakkeel/request_events.py
+++ b/oakkeel/request_events.py
@@ -74,6 +74,13 @@
     duration: int  # nanoseconds
 
 
+@dataclass(slots=True)
+class CallReplyUncertain:
+    """The run may not have received the reply of its call: the link to the engine was lost."""
+
+    notice_number: int  # of the engine's notice that asked for the call
+
+
 @dataclass(slots=True)
 class RunFinished:
     """The run in the engine is over."""
@@ -97,5 +104,7 @@
 
 
 Verdict = StartRun | RejectRequest | FailRequest | CancelRun | IssueCall | SkipCall | AwaitSharedResponse
-ExternalEvent = ClientDisconnected | CallNeeded | CallFinished | RunFinished | SharedResponse
+ExternalEvent = (
+    ClientDisconnected | CallNeeded | CallFinished | CallReplyUncertain | RunFinished | SharedResponse
+)
 RequestEvent = Verdict | ExternalEvent
--- a/tests/admission/test_downstream_calls.py
+++ b/tests/admission/test_downstream_calls.py
@@ -111,6 +111,32 @@
             host.finish_call(request, outcome)
             self.assertEqual(host.actions_on(request)[2:], [expected])
 
+    def test_a_reply_that_may_be_lost_is_never_given_again(self):
+        # The run may have received it and may wait for its next call.
+        for fields, expected in (
+            ({"degraded_weight": 0.5}, ["skip_call"]),
+            ({"degraded_weight": 0.5, "idempotency": Idempotency.NON_IDEMPOTENT}, ["skip_call"]),
+            ({"idempotency": Idempotency.IDEMPOTENT}, ["reject", "cancel"]),
+            ({"idempotency": Idempotency.IDEMPOTENCY_KEY}, []),
+            ({"idempotency": Idempotency.NON_IDEMPOTENT}, []),
+        ):
+            host = FakeHost(request_classes=[fields], downstream=DownstreamKind.TIER)
+            request = host.arrive()
+            host.need_call(request)
+            host.finish_call(request, Outcome.COMPLETED)
+            host.admission.call_reply_uncertain(host.now, request)
+            self.assertEqual(host.actions_on(request)[2:], expected)
+
+    def test_a_request_that_is_answered_ignores_a_reply_that_may_be_lost(self):
+        host = FakeHost(request_classes=[{"degraded_weight": 0.5}], downstream=DownstreamKind.TIER)
+        request = host.arrive()
+        host.need_call(request)
+        host.finish_call(request, Outcome.COMPLETED)
+        host.admission.client_disconnected(host.now, request)
+        actions = host.actions_on(request)
+        host.admission.call_reply_uncertain(host.now, request)
+        self.assertEqual(host.actions_on(request), actions)
+
     def test_fails_the_request_after_the_maximum_of_call_attempts(self):
         request = make_request(failed_calls=MAX_CALL_ATTEMPTS - 1)
         self.assertIs(step_after_failed_call(request, Outcome.RESET), FailedCallStep.RETRY)
--- a/tests/node/test_handover.py
+++ b/tests/node/test_handover.py
@@ -44,6 +44,48 @@
         commands = [self.engine.next_command()[:2] for _ in range(2)]
         self.assertIn(("HALT", request_id), commands)
 
+    def lose_link_after_reply(self, class_name: str) -> tuple:
+        """Let a run make a call, give it the reply, and lose the link before the reply is confirmed.
+
+        The caller accepts the next link.
+        """
+        dispatcher, request_id, link = self.start_downstream_call(class_name)
+        link.send_line(f"{request_id} DATA 5", b"first")
+        self.assertEqual(self.engine.next_command(), ("FEED", request_id, "5", b"first"))
+        self.engine.drop_link()
+        return dispatcher, request_id
+
+    def test_a_run_never_gets_the_reply_to_its_first_call_as_that_to_its_second(self):
+        # The first FEED was read before the link was lost: a second one would answer the next call.
+        dispatcher, request_id = self.lose_link_after_reply("quote")
+        self.engine.accept_link_with_need(request_id, b"second call")
+        self.assertEqual(self.engine.next_command(), ("SKIP", request_id, "1", b""))
+        second_link = self.catalogue_link()
+        self.assertEqual(second_link.next_command()[::3], ("FETCH", "11"))
+        second_link.send_line(f"{request_id} DATA 6", b"second")
+        self.assertEqual(self.engine.next_command(), ("FEED", request_id, "6", b"second"))
+        self.engine.send_done(request_id)
+        self.assertEqual(dispatcher.next_answer()[:2], (1, b"ok"))
+
+    def test_a_run_whose_reply_may_be_lost_is_rejected_if_it_needs_the_reply(self):
+        # Left alone, a run that did not get its reply would hold its slot until its deadline.
+        dispatcher, request_id = self.lose_link_after_reply("card")
+        self.engine.accept_link()
+        tag, status, fields, _ = dispatcher.next_answer()
+        self.assertEqual((tag, status), (1, b"full"))
+        self.assertIn(b"holdoff=", fields)
+        self.assertNotIn(b"nomore=", fields)
+        self.assertEqual(self.engine.next_command()[:2], ("HALT", request_id))
+
+    def test_an_at_most_once_run_whose_reply_may_be_lost_goes_on(self):
+        # Stopped, it could not be retried; the reply is not given again.
+        dispatcher, request_id = self.lose_link_after_reply("pay")
+        self.engine.accept_link()
+        second_id = dispatcher.call("pay")
+        self.assertEqual(self.engine.next_command()[:2], ("RUN", second_id))
+        self.engine.send_done(request_id)
+        self.assertEqual(dispatcher.next_answer()[:2], (1, b"ok"))
+
     def test_a_restarted_engine_fails_the_earlier_runs_and_takes_new_ones(self):
         # A restarted engine numbers its notices from 1 again: they must not be taken for duplicates.
         self.start_node()
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -143,9 +143,22 @@
         self.answers_stat = answer
         if answer:
             self.send_line(f"HELLO {state} {self.age()}")
-            threading.Thread(target=self._read, args=(self.stream, self.commands), daemon=True).start()
+            self._start_reading()
         return last_read_number
 
+    def accept_link_with_need(self, request_id: str, body: bytes) -> None:
+        """Accept a link whose answer to the first STAT is followed at once by a NEED."""
+        self.accept_link(answer=False)
+        self.send_line(f"HELLO steady {self.age()}")
+        tag = self.stream.readline().split()[1].decode()
+        self.send_line(f"STATS {tag} {self.gauges}")
+        self.send_need(request_id, body)
+        self.answers_stat = True
+        self._start_reading()
+
+    def _start_reading(self) -> None:
+        threading.Thread(target=self._read, args=(self.stream, self.commands), daemon=True).start()
+
     def _read(self, stream, commands: queue.Queue) -> None:
         with contextlib.suppress(OSError, ValueError), stream:
             while line := stream.readline().split():
