Move the detection of a restarted engine out of the engine's link

Change: EngineProcess in engine/restarts.py has the start time of the process and the rule, and tells a first greeting, the same process and a restart apart. No behaviour changes.

--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -12,6 +12,7 @@
 
 from oakkeel.engine.commands import Command, GaugeRequest, UnconfirmedCommands
 from oakkeel.engine.notices import WITH_BODY, NoticeHandler
+from oakkeel.engine.restarts import EngineProcess, Greeting
 from oakkeel.engine.verbs import FEED, HALT, RUN, SKIP, STAT
 from oakkeel.line_protocol import LineParser
 from oakkeel.log import EventLog, describe_error
@@ -27,16 +28,6 @@
 REATTACH_TAG_PREFIX = b"b"
 
 
-def has_restarted(attached_at: int, age: int, latest_start: int, limits: ResourceLimits) -> bool:
-    """Return whether the engine of a new connection is another process, which knows no earlier run.
-
-    The engine restarted if it started later than `latest_start` plus the margin for rounding and delays. Its
-    start is `attached_at` minus the reported `age`; `latest_start` is the latest start consistent with the
-    earlier greetings. All times are nanoseconds.
-    """
-    return attached_at - age > latest_start + limits.engine_restart_margin
-
-
 class EngineLink:
     """A link that reconnects; commands are written at once while it is open and queued otherwise."""
 
@@ -62,9 +53,8 @@
         self.unconfirmed = UnconfirmedCommands(resource_limits)
         self.gauge_requests: dict[bytes, GaugeRequest] = {}  # by tag, the oldest first
         self.tags = count(1)  # numbers of the requests for gauges on this link
-        self.has_greeted = False  # an engine has sent its first greeting
+        self.process = EngineProcess(resource_limits.engine_restart_margin)
         self.attached_at = 0  # time of the ATTACH on this connection, in monotonic nanoseconds
-        self.latest_start = 0  # latest possible start time of the engine, in monotonic nanoseconds
         self.reattach_tag = b""  # of the gauges that follow all missed notices
         self.reattach_at = 0  # time at which these gauges were asked for
         self.handover_tag = b""  # of the gauges that end the connection to the earlier address
@@ -109,7 +99,7 @@
             timeout = self.resource_limits.engine_timeout / SECOND
             self.hello_timer = asyncio.get_running_loop().call_later(timeout, self._close_ungreeted, stream)
             await connect(stream, self.address)
-            if not self.has_greeted and self.hello_timer:
+            if not self.process.has_greeted and self.hello_timer:
                 self.hello_timer.cancel()
             self.stream = stream
             self.attached_at = time.monotonic_ns()
@@ -242,17 +232,12 @@
         """Handle a greeting: missed notices follow it, then the answer to a STAT sent now."""
         if self.hello_timer:
             self.hello_timer.cancel()
-        latest_start = time.monotonic_ns() - age
-        if not self.has_greeted:
-            self.has_greeted = True
-            self.latest_start = latest_start
-            self.on_engine_started(state == b"booting", age)
-        elif has_restarted(self.attached_at, age, self.latest_start, self.resource_limits):
-            self.latest_start = latest_start
+        greeting = self.process.greet(time.monotonic_ns(), self.attached_at, age)
+        if greeting is not Greeting.SAME_PROCESS:
             self.on_engine_started(state == b"booting", age)
+        if greeting is Greeting.RESTARTED:
             self._engine_restarted()
             return
-        self.latest_start = min(self.latest_start, latest_start)
         self.reattach_tag = REATTACH_TAG_PREFIX + b"%d" % next(self.tags)
         self.reattach_at = time.monotonic_ns()
         if self.stream:
