Show the ID of a duplicate to the engine before it shares a response

Cause: only a RUN shows an ID to the engine, and a request that shares a response gets none (RequestHandler._follow).

Change: a duplicate is checked first, by a command without effect on a request that has no run (HALT; SKIP of notice 0 where runs can't be stopped and the call is optional) and a STAT behind it: NO comes before its answer for an unknown ID. Checks are sent again after a lost link; a read whose original grew too old meanwhile is rejected; where no command can check, a read runs. Keyed duplicates had the same gap and pass the same check; where nothing can check them they count as known (open, told in the incident).

--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -10,22 +10,26 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from oakkeel.admission.types import StopKind
 from oakkeel.engine.commands import Command, GaugeRequest, UnconfirmedCommands
+from oakkeel.engine.identity_checks import IdentityChecks, check_command
 from oakkeel.engine.notices import WITH_BODY, NoticeHandler
 from oakkeel.engine.restarts import EngineProcess, Greeting
 from oakkeel.engine.verbs import FEED, HALT, RUN, SKIP, STAT
 from oakkeel.line_protocol import LineParser
 from oakkeel.log import EventLog, describe_error
 from oakkeel.request import NodeRequest
-from oakkeel.request_events import CallReplyUncertain
+from oakkeel.request_events import CallReplyUncertain, IdentityChecked
 from oakkeel.resource_limits import ResourceLimits
 from oakkeel.stream_buffers import BufferPool, MalformedInputError, ReadBuffer, connect, send
 from oakkeel.units import SECOND
 
 MAX_GAUGE = 1e12
-# Tags of requests for gauges are plain numbers; these prefixes mark the tags of a handover and a reattach.
+# Tags of requests for gauges are plain numbers; these prefixes mark the tags of a handover, a reattach and
+# the check of a request ID.
 HANDOVER_TAG_PREFIX = b"w"
 REATTACH_TAG_PREFIX = b"b"
+IDENTITY_TAG_PREFIX = b"i"
 
 
 class EngineLink:
@@ -38,18 +42,21 @@
         resource_limits: ResourceLimits,
         log: EventLog,
         on_engine_started: Callable[[bool, int], None],
+        stop_kind: StopKind = StopKind.NONE,
     ) -> None:
         """Prepare a link; `serve` connects it.
 
         `on_engine_started` is called with whether the engine is booting and its age in nanoseconds, at its
-        first greeting and after each restart.
+        first greeting and after each restart. `stop_kind` is how the engine stops runs.
         """
         self.address = address
         self.pool = pool
         self.resource_limits = resource_limits
         self.log = log
         self.on_engine_started = on_engine_started
-        self.notices = NoticeHandler(log, self._on_hello, self._on_gauges)
+        self.stop_kind = stop_kind
+        self.identity_checks = IdentityChecks()
+        self.notices = NoticeHandler(log, self.identity_checks, self._on_hello, self._on_gauges)
         self.unconfirmed = UnconfirmedCommands(resource_limits)
         self.gauge_requests: dict[bytes, GaugeRequest] = {}  # by tag, the oldest first
         self.tags = count(1)  # numbers of the requests for gauges on this link
@@ -174,6 +181,32 @@
         """Let a run continue without the call that it asked for in a notice."""
         self._send_command(request, SKIP, b"%d" % notice_number)
 
+    def can_check_identity(self, request: NodeRequest) -> bool:
+        """Return whether the settings allow a command that checks the ID of the request."""
+        return check_command(request, self.stop_kind) is not None
+
+    def check_identity(self, request: NodeRequest) -> None:
+        """Ask whether the engine knows a request without a run; `IdentityChecked` is posted to it.
+
+        Where no command can check that, the ID counts as known.
+        """
+        command = check_command(request, self.stop_kind)
+        if command is None:
+            request.post(IdentityChecked(is_known=True))
+            return
+        self.identity_checks.add(request, command)
+        if self.is_open:
+            self._send_identity_check(request.request_id)
+
+    def _send_identity_check(self, request_id: bytes) -> None:
+        if self.stream:
+            tag = IDENTITY_TAG_PREFIX + b"%d" % next(self.tags)
+            send(self.stream, self.identity_checks.encode(request_id, tag))
+
+    def discard_identity_check(self, request: NodeRequest) -> None:
+        """Drop the check of a request that no longer waits for it, if there is one."""
+        self.identity_checks.discard(request)
+
     def _send_command(
         self, request: NodeRequest, verb: bytes, arguments: bytes = b"", body: bytes | None = None
     ) -> None:
@@ -261,6 +294,8 @@
         elif tag == self.handover_tag and self.stream:
             self.unconfirmed.drop_written()
             self.stream.close()
+        elif self.identity_checks.confirm(tag):
+            pass
         elif gauge_request := self.gauge_requests.pop(tag, None):
             if not gauge_request.future.done():
                 gauge_request.future.set_result(values)
@@ -277,3 +312,5 @@
             self.log.warning("engine_call_replies_uncertain", count=len(uncertain_replies))
         for reply in uncertain_replies:
             reply.request.post(CallReplyUncertain(reply.notice_number))
+        for request_id in self.identity_checks.restart():
+            self._send_identity_check(request_id)
--- a/oakkeel/engine/notices.py
+++ b/oakkeel/engine/notices.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Container
 
 from oakkeel.admission.types import Outcome
+from oakkeel.engine.identity_checks import IdentityChecks
 from oakkeel.engine.verbs import DONE, HALT, HELLO, NEED, NO, NOTE, RUN, STATS
 from oakkeel.line_protocol import parse_integer, parse_milliseconds
 from oakkeel.log import EventLog
@@ -31,6 +32,7 @@
     def __init__(
         self,
         log: EventLog,
+        identity_checks: IdentityChecks,
         on_hello: Callable[[bytes, int], None],
         on_gauges: Callable[[bytes, list[float]], None],
     ) -> None:
@@ -40,6 +42,7 @@
         the values.
         """
         self.log = log
+        self.identity_checks = identity_checks
         self.on_hello = on_hello
         self.on_gauges = on_gauges
         self.runs: dict[bytes, NodeRequest] = {}  # requests in the engine, by request ID
@@ -90,12 +93,13 @@
                 self.finish(request_id, Outcome.ERROR, 0, b"")
 
     def _handle_rejected_command(self, verb: bytes, request_id: bytes) -> None:
-        """End a run that the engine does not know; no other rejected command has an effect."""
+        """End a run or a check whose request the engine does not know; nothing else has an effect."""
         self.log.warning(
             "engine_command_rejected",
             command=verb.decode(errors="replace"),
             request_id=request_id[:MAX_LOGGED_ID_BYTES].decode(errors="replace"),
         )
+        self.identity_checks.refuse(request_id)
         if verb in (RUN, HALT):
             request = self.runs.get(request_id)
             self.finish(request_id, Outcome.ERROR, 0, b"")
--- a/oakkeel/node/node.py
+++ b/oakkeel/node/node.py
@@ -67,7 +67,12 @@
             configuration.directory, configuration.name, resource_limits
         )
         self.engine = EngineLink(
-            configuration.engine, self.pool, resource_limits, self.log, self._on_engine_up
+            configuration.engine,
+            self.pool,
+            resource_limits,
+            self.log,
+            self._on_engine_up,
+            configuration.limits.stop_kind,
         )
         self.catalogue = Catalogue(configuration.catalogue, self.pool, resource_limits, self.log)
         self.response_cache = ResponseCache(resource_limits, configuration.limits.cache_ttl)
--- a/oakkeel/node/request_handler.py
+++ b/oakkeel/node/request_handler.py
@@ -20,6 +20,7 @@
     CancelRun,
     ClientDisconnected,
     FailRequest,
+    IdentityChecked,
     IssueCall,
     RejectRequest,
     RequestEvent,
@@ -84,14 +85,16 @@
             case KeyCheck.CACHE_FULL:
                 self._reject(request)
                 return False
+        is_read = not request.request_class.at_most_once
+        if request.is_duplicate and is_read and not self.engine.can_check_identity(request):
+            request.is_duplicate = False  # it runs, so that the engine sees its ID
         return True
 
     async def _follow(self, request: NodeRequest) -> None:
         """Carry out the verdict on a request that has arrived."""
         event = await self._next_event(request)
         if isinstance(event, AwaitSharedResponse):
-            self.response_cache.share(request)
-            event = await self._next_event(request)
+            event = await self._share_response(request)
         if isinstance(event, SharedResponse):
             self.host.notify(self.host.admission.run_finished, request, event.outcome)
             self._answer_run(request, event.outcome, event.result)
@@ -100,6 +103,22 @@
             await self._follow_run(request)
         # Otherwise the request was rejected, or its client has disconnected.
 
+    async def _share_response(self, request: NodeRequest) -> RequestEvent | RequestReleased:
+        """Wait for the response of the request that a duplicate repeats, if the engine knows the duplicate.
+
+        A client that makes up an ID must not be served, and a duplicate does not reach the engine as a run.
+        """
+        self.engine.check_identity(request)
+        event = await self._next_event(request)
+        self.engine.discard_identity_check(request)
+        if not isinstance(event, IdentityChecked):
+            return event
+        if not event.is_known:
+            request.connection.report_violation("request_id_unknown", request_id=request.request_id)
+            return SharedResponse(Outcome.ERROR, b"")
+        self.response_cache.share(request, time.monotonic_ns())
+        return await self._next_event(request)
+
     async def _follow_run(self, request: NodeRequest) -> None:
         """Make the downstream calls that a run needs, until the run finishes."""
         event = await self._next_event(request)
--- a/oakkeel/node/response_cache.py
+++ b/oakkeel/node/response_cache.py
@@ -8,6 +8,7 @@
 from oakkeel.cached_response import CachedResponse, CacheKey, body_digest
 from oakkeel.errors import OakkeelError
 from oakkeel.request import NodeRequest
+from oakkeel.request_events import SharedResponse
 from oakkeel.resource_limits import ResourceLimits
 
 
@@ -55,11 +56,9 @@
         entry = self.entries.get(request.cache_key) if request.cache_key else None
         if entry is None or now - request.queueing_delay >= entry.expires_at:
             return False
-        if (
-            not entry.at_most_once
-            and entry.outcome is not None
-            and (entry.outcome is not Outcome.COMPLETED or now - entry.finished_at > self.read_ttl)
-        ):
+        if not entry.at_most_once and entry.outcome not in (None, Outcome.COMPLETED):
+            return False
+        if self._is_stale(entry, now):
             return False
         request.duplicate_of = entry
         return True
@@ -72,12 +71,23 @@
         original = request.duplicate_of
         return original is not None and original.at_most_once and original.digest != body_digest(request.body)
 
-    def share(self, request: NodeRequest) -> None:
-        """Give a duplicate the response of its original request, at once or when the original finishes."""
+    def _is_stale(self, entry: CachedResponse, now: int) -> bool:
+        """Return whether the result of a read is too old to be shared."""
+        is_completed_read = not entry.at_most_once and entry.outcome is Outcome.COMPLETED
+        return is_completed_read and now - entry.finished_at > self.read_ttl
+
+    def share(self, request: NodeRequest, now: int) -> None:
+        """Give a duplicate the response of its original request, at once or when the original finishes.
+
+        A read is rejected if its original has become too old since `find_original`.
+        """
         original = request.duplicate_of
         if original is None:
             raise NotADuplicateError(f"the request {request.request_id!r} is no duplicate")
-        original.add_follower(request)
+        if self._is_stale(original, now):
+            request.post(SharedResponse(Outcome.REJECTED, b""))
+        else:
+            original.add_follower(request)
 
     def make_room(self, now: int) -> bool:
         """Make room for one entry if the cache is full; return whether there is room.
--- a/oakkeel/request_events.py
+++ b/oakkeel/request_events.py
@@ -90,6 +90,13 @@
     duration: int  # nanoseconds on the cores
 
 
+@dataclass(slots=True)
+class IdentityChecked:
+    """The engine was asked whether it knows the ID of the request."""
+
+    is_known: bool
+
+
 @dataclass(slots=True)
 class SharedResponse:
     """The request that this one duplicates is over."""
@@ -105,6 +112,12 @@
 
 Verdict = StartRun | RejectRequest | FailRequest | CancelRun | IssueCall | SkipCall | AwaitSharedResponse
 ExternalEvent = (
-    ClientDisconnected | CallNeeded | CallFinished | CallReplyUncertain | RunFinished | SharedResponse
+    ClientDisconnected
+    | CallNeeded
+    | CallFinished
+    | CallReplyUncertain
+    | RunFinished
+    | IdentityChecked
+    | SharedResponse
 )
 RequestEvent = Verdict | ExternalEvent
--- a/tests/node/test_duplicates.py
+++ b/tests/node/test_duplicates.py
@@ -1,5 +1,6 @@
 """Duplicate requests, in the response cache alone and in a node process over sockets."""
 
+import time
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -71,7 +72,7 @@
         self.response_cache.release(second)
         late_request = keyed_request(queueing_delay=300 * MS)  # arrived at 100.9 s, in the first window
         self.assertTrue(self.response_cache.find_original(late_request, NOW + 1200 * MS))
-        self.response_cache.share(late_request)
+        self.response_cache.share(late_request, NOW + 1200 * MS)
         self.assertEqual(late_request.events.popleft(), SharedResponse(Outcome.COMPLETED, b"first"))
 
     def test_a_follower_of_a_request_that_never_ran_gets_the_earlier_result(self):
@@ -81,7 +82,7 @@
         late_request.arrived_at = new_request.arrived_at = NOW + 1200 * MS
         for request in (late_request, new_request):
             self.assertTrue(self.response_cache.find_original(request, NOW + 1200 * MS))
-            self.response_cache.share(request)
+            self.response_cache.share(request, NOW + 1200 * MS)
         self.response_cache.release(second)
         self.assertEqual(new_request.events.popleft(), SharedResponse(Outcome.REJECTED, b""))
         self.assertFalse(late_request.events)
@@ -322,6 +323,80 @@
         self.send_order(other_dispatcher, tag=2, fields=",resent=1")
         self.assertEqual(other_dispatcher.next_answer()[1], b"ok")
 
+    def read_settings(self, **extra) -> dict:
+        """Return settings with which reads of one subject share a response that is under a second old."""
+        return self.settings_with_extra(**{"fresh": SECOND, "depends-on": "silent", **extra})
+
+    def test_a_client_with_an_id_unknown_to_the_engine_gets_no_shared_read(self):
+        # No run reaches the engine for a duplicate, so nothing else would find out such a client.
+        self.start_node(settings=self.read_settings())
+        dispatcher, bad_client = self.dispatcher(), self.dispatcher()
+        first_id = dispatcher.call("card", fields=",subject=s")
+        self.assert_runs(first_id)
+        self.engine.refuse_next_check = True
+        bad_client.call("card", fields=",subject=s")  # while the original runs
+        self.assertEqual(bad_client.next_answer()[1::2], (b"fault", b""))
+        self.engine.send_done(first_id)
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        self.engine.refuse_next_check = True
+        bad_client.call("card", fields=",subject=s")  # when the response is retained
+        self.assertEqual(bad_client.next_answer()[1::2], (b"fault", b""))
+        dispatcher.call("card", fields=",subject=s")
+        self.assertEqual(dispatcher.next_answer()[1::2], (b"ok", b"result"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_a_client_with_an_id_unknown_to_the_engine_gets_no_result_of_a_key(self):
+        dispatcher, bad_client = self.begin_with_two_dispatchers()
+        first_id = self.send_order(dispatcher)
+        self.assert_runs(first_id)
+        self.engine.send_done(first_id)
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        self.engine.refuse_next_check = True
+        self.send_order(bad_client)
+        self.assertEqual(bad_client.next_answer()[1::2], (b"fault", b""))
+        self.send_order(dispatcher)
+        self.assertEqual(dispatcher.next_answer()[1::2], (b"ok", b"result"))
+        self.assertTrue(self.engine.commands.empty())
+
+    def test_the_check_of_a_duplicate_is_sent_again_after_a_lost_link(self):
+        self.start_node(settings=self.read_settings())
+        dispatcher, other_dispatcher = self.dispatcher(), self.dispatcher()
+        first_id = dispatcher.call("card", fields=",subject=s")
+        self.assert_runs(first_id)
+        self.engine.send_done(first_id)
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        self.engine.drop_link()
+        self.wait_for_log("engine_link_lost")
+        other_dispatcher.call("card", fields=",subject=s")
+        self.wait_until_read(other_dispatcher)
+        self.engine.accept_link()
+        self.assertEqual(other_dispatcher.next_answer()[1::2], (b"ok", b"result"))
+
+    def test_a_read_whose_original_grew_too_old_during_the_check_is_rejected(self):
+        self.start_node(settings=self.read_settings(fresh=200 * MS))
+        dispatcher, other_dispatcher = self.dispatcher(), self.dispatcher()
+        first_id = dispatcher.call("card", fields=",subject=s")
+        self.assert_runs(first_id)
+        self.engine.drop_link()
+        self.wait_for_log("engine_link_lost")
+        other_dispatcher.call("card", fields=",subject=s")
+        self.wait_until_read(other_dispatcher)
+        self.engine.accept_link(answer=False)
+        self.engine.send_line(f"HELLO steady {self.engine.age()}")
+        self.engine.send_done(first_id)
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        time.sleep(0.3)  # the link opens when the first STAT is answered
+        self.engine.answers_stat = True
+        self.engine.start_reading()
+        self.assertEqual(other_dispatcher.next_answer()[1::2], (b"full", b""))
+
+    def test_a_read_runs_where_no_command_can_check_its_id(self):
+        # Its run shows its ID to the engine.
+        self.start_node(settings=self.read_settings(halt="silent"))
+        dispatcher, other_dispatcher = self.dispatcher(), self.dispatcher()
+        self.assert_runs(dispatcher.call("card", fields=",subject=s"))
+        self.assert_runs(other_dispatcher.call("card", fields=",subject=s"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/node/test_response_cache.py
+++ b/tests/node/test_response_cache.py
@@ -31,7 +31,7 @@
         )
         cache.retain(first, 0, SECOND)
         cache.find_original(follower, 0)
-        cache.share(follower)
+        cache.share(follower, 0)
         cache.release(first)
         self.assertEqual(follower.events.popleft(), SharedResponse(Outcome.REJECTED, b""))
         self.assertFalse(cache.find_original(node_request(key=b"s"), 0))
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -114,9 +114,11 @@
 
 
 class Engine:
-    """A fake engine that answers STAT itself and queues the other commands for the test."""
+    """A fake engine that answers STAT and checks of IDs itself; it queues other commands for the test."""
 
     def __init__(self) -> None:
+        self.run_ids: set[bytes] = set()  # IDs of all requests that were run
+        self.refuse_next_check = False  # as if the ID of the request were unknown
         self.server = socket.create_server(("127.0.0.1", 0))
         self.gauges = "0.1 0.0 0.1 1.0"
         self.notice_number = 0  # of the last DONE or NEED that the engine sent
@@ -143,7 +145,7 @@
         self.answers_stat = answer
         if answer:
             self.send_line(f"HELLO {state} {self.age()}")
-            self._start_reading()
+            self.start_reading()
         return last_read_number
 
     def accept_link_with_need(self, request_id: str, body: bytes) -> None:
@@ -154,9 +156,10 @@
         self.send_line(f"STATS {tag} {self.gauges}")
         self.send_need(request_id, body)
         self.answers_stat = True
-        self._start_reading()
+        self.start_reading()
 
-    def _start_reading(self) -> None:
+    def start_reading(self) -> None:
+        """Read commands, and answer STAT, on the present link."""
         threading.Thread(target=self._read, args=(self.stream, self.commands), daemon=True).start()
 
     def _read(self, stream, commands: queue.Queue) -> None:
@@ -166,9 +169,19 @@
                     self.send_line(f"STATS {line[1].decode()} {self.gauges}")
                     continue
                 body = stream.read(int(line[-1]) + 2)[:-2] if line[0] in (b"RUN", b"FEED") else b""
+                if line[0] == b"RUN":
+                    self.run_ids.add(line[1])
+                elif line[0] in (b"HALT", b"SKIP") and line[1] not in self.run_ids:
+                    self._answer_check(line)  # without a run it has no effect but to check the ID
+                    continue
                 commands.put((*(word.decode() for word in line), body))
         commands.put(("END",))
 
+    def _answer_check(self, line: list[bytes]) -> None:
+        if self.refuse_next_check:
+            self.refuse_next_check = False
+            self.send_line(f"NO {line[0].decode()} {line[1].decode()}")
+
     def send_line(self, line: str, body: bytes | None = None) -> None:
         self.link.sendall(line.encode() + b"\r\n" + (b"" if body is None else body + b"\r\n"))
 
@@ -282,6 +295,7 @@
         old = self.engine, self.catalogue, self.directory
         self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
         self.engine.started_at = old[0].started_at  # the same engine at another address
+        self.engine.run_ids = old[0].run_ids
         self.directory = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.directory.bind(("127.0.0.1", 0))
         self.directory.settimeout(TIMEOUT_S)
