Draw each port of the test rig only once

Change: each process goes through all ports in a random order, so that a port comes again only after all others. Result: the new test (2,000 draws, all different) failed before and passes; tests/fakes passes.

--- a/oakkeel/fakes/site.py
+++ b/oakkeel/fakes/site.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
+import random
 import secrets
 import socket
 from dataclasses import dataclass
@@ -163,14 +165,18 @@
             json.dump(configuration, file)
 
 
-def free_port() -> int:
-    """Return a port without a listener, for loopback and tests only.
+# Below the ephemeral range of the kernel: otherwise a connection that is opened meanwhile could get a port
+# before it is listened on.
+PORTS = range(10_000, 30_000)
+# In an order of its own for each process, so that two of them rarely draw the same port; a port comes again
+# only after all others, as its first owner may not listen yet.
+_port_candidates = itertools.cycle(random.Random().sample(PORTS, len(PORTS)))
+
 
-    The port is below the ephemeral range of the kernel: otherwise a connection that is opened meanwhile could
-    get the port before it is listened on.
-    """
+def free_port() -> int:
+    """Return a port without a listener, another one at each call; for loopback and tests only."""
     while True:
-        port = 10_000 + secrets.randbelow(20_000)
+        port = next(_port_candidates)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
