Take the excess out of the window in which commands to the engine may be lost

Cause: commands that the engine had read were kept as if lost for 150 ms, from one answer of gauges to another, both by the time at which the node read them. Change: 50 ms, from the answer that shows that the engine has read a command to the sending of a request for gauges that was answered too. A node that reads late, for whatever reason, only keeps commands longer.

--- a/oakkeel/engine/commands.py
+++ b/oakkeel/engine/commands.py
@@ -89,16 +89,17 @@
             )
         self.commands.append(command)
 
-    def confirm(self, marker: Command, now: int) -> None:
-        """Drop the commands before an answered request for gauges, once the loss window has passed.
+    def confirm(self, marker: Command, sent_at: int, answered_at: int) -> None:
+        """Drop the commands that can't be lost any more, as a request for gauges was answered.
 
-        The engine has read all commands before that request, but the most recent commands may still be lost
-        with the connection.
+        The engine had read all commands before an earlier request when that one was answered, and the
+        connection was still whole when the engine read the present one, after `sent_at`. A later loss takes
+        only the commands that the engine read within the loss window before it. `marker` is the present
+        request; times are nanoseconds of the monotonic clock.
         """
-        self.confirmations.append((now, marker))
-        while (
-            self.confirmations and self.confirmations[0][0] <= now - self.resource_limits.engine_loss_window
-        ):
+        self.confirmations.append((answered_at, marker))
+        safe_until = sent_at - self.resource_limits.engine_loss_window
+        while self.confirmations and self.confirmations[0][0] <= safe_until:
             _, confirmed = self.confirmations.popleft()
             while self.commands and self.commands.popleft() is not confirmed:
                 pass
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -299,7 +299,7 @@
         elif gauge_request := self.gauge_requests.pop(tag, None):
             if not gauge_request.future.done():
                 gauge_request.future.set_result(values)
-            self.unconfirmed.confirm(gauge_request.command, time.monotonic_ns())
+            self.unconfirmed.confirm(gauge_request.command, gauge_request.sent_at, time.monotonic_ns())
 
     def _reattach(self) -> None:
         """Open the link and resend the lost commands, after all missed notices were read."""
--- a/oakkeel/resource_limits.py
+++ b/oakkeel/resource_limits.py
@@ -52,7 +52,7 @@
 
     # The engine.
     engine_retry_delay: int = 50 * MS  # from one connection attempt to the next
-    engine_loss_window: int = 150 * MS  # commands written this shortly before a loss of the link may be lost
+    engine_loss_window: int = 50 * MS  # commands read this shortly before a loss of the link may be lost
     engine_timeout: int = 2 * SECOND  # for a greeting or an answer with gauges; then the link reconnects
     engine_restart_margin: int = SECOND  # minimum shift of the start time that proves a restart
     engine_handover_timeout: int = 200 * MS  # for the earlier engine to confirm that it has read all commands
