--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -134,24 +134,24 @@
         """
         limits = self._resource_limits
         while True:
-            read_at = time.monotonic_ns()
+            started_at = time.thread_time_ns()
             try:
-                await self.read_buffer.fill(self.stream)
+                if await self.read_buffer.fill(self.stream):
+                    started_at = time.thread_time_ns()  # other tasks ran meanwhile
             except MalformedInputError as error:
                 self._reject_stream(error)
                 continue
             if self.stream.at_eof:
                 self._parse()  # the bytes received before the end
                 return
-            cpu_time = -time.thread_time_ns()
             self._parse()
-            cpu_time += time.thread_time_ns()
+            cpu_time = time.thread_time_ns() - started_at
             # Read no more requests from a dispatcher until it has read enough of its answers.
             while self.unsent_bytes > limits.max_unsent_bytes:
                 await self._progress.wait()
             # A dispatcher that sends without pause must not block the event loop: awaiting a done future
             # does not yield.
-            await asyncio.sleep(read_pause(time.monotonic_ns(), read_at, cpu_time, limits) / SECOND)
+            await asyncio.sleep(read_pause(cpu_time, limits) / SECOND)
 
     def _parse(self) -> None:
         if self.state in (ConnectionState.ENDING, ConnectionState.LINGERING):
--- a/oakkeel/dispatch/timeouts.py
+++ b/oakkeel/dispatch/timeouts.py
@@ -22,10 +22,10 @@
     return max(0, now - wait_started_at - limits.array_timeout) if wait_started_at else 0
 
 
-def read_pause(now: int, read_at: int, cpu_time: int, limits: ResourceLimits) -> int:
-    """Return the nanoseconds from now to the next read of a connection that was read at `read_at`.
+def read_pause(cpu_time: int, limits: ResourceLimits) -> int:
+    """Return the nanoseconds to the next read of a connection.
 
-    The pause bounds the share of the event loop that one connection gets; `cpu_time` is the CPU time that
-    parsing took.
+    The pause bounds the share of the event loop that one connection gets; `cpu_time` is the CPU time in
+    nanoseconds that its last read and its parsing took.
     """
-    return max(0, read_at + limits.read_pause - now, cpu_time * limits.read_cpu_factor)
+    return cpu_time * limits.read_cpu_factor
--- a/oakkeel/resource_limits.py
+++ b/oakkeel/resource_limits.py
@@ -35,8 +35,7 @@
     max_client_timeout: int = 3600 * SECOND
     max_violations: int = 8  # requests on one connection that are malformed or that the engine does not know
     unsent_memory_share: float = 0.2  # of the memory, for unsent answers
-    read_pause: int = 5 * MS  # from one read of a connection to the next
-    read_cpu_factor: int = 20  # pause before the next read, in multiples of the CPU time of parsing
+    read_cpu_factor: int = 20  # pause before the next read, in multiples of the CPU time of read and parsing
     accepts_per_pass: int = 16  # connections in one pass of the event loop
     new_connection_grace: int = 50 * MS  # from the accept; received bytes may not be read yet
     sweep_interval: int = 250 * MS  # between the checks of timeouts
--- a/oakkeel/stream_buffers.py
+++ b/oakkeel/stream_buffers.py
@@ -75,10 +75,11 @@
         """Receive without waiting from a socket that no stream reads yet. Raises OSError."""
         self.end += connected.recv_into(memoryview(self.buffer)[self.end :])
 
-    async def fill(self, stream: IOStream) -> None:
+    async def fill(self, stream: IOStream) -> bool:
         """Wait for more bytes, after moving the unparsed bytes to the front.
 
-        Raises StreamClosedError, and MalformedInputError if a full buffer holds no complete message.
+        Returns whether it had to wait, as the kernel held no bytes. Raises StreamClosedError, and
+        MalformedInputError if a full buffer holds no complete message.
         """
         if self.start:
             self.buffer[: self.end - self.start] = self.buffer[self.start : self.end]
@@ -87,8 +88,16 @@
         if self.end == len(self.buffer):
             raise MalformedInputError(f"a message of more than {self.end} bytes")
         free = memoryview(self.buffer)[self.end :]
-        count = await stream.read_into(free, partial=True)  # type: ignore[arg-type]  # any buffer will do
+        reading = asyncio.ensure_future(
+            stream.read_into(free, partial=True)  # type: ignore[arg-type]  # any buffer will do
+        )
+        must_wait = not reading.done()
+        try:
+            count = await reading
+        finally:
+            del reading  # an error refers to this frame: with the future it would form a reference cycle
         self.end += stream.count_delivered(count) if isinstance(stream, HalfClosingStream) else count
+        return must_wait
 
     def close(self) -> None:
         """Return the buffer to the pool."""
