Keep reading a connection with an open request though an array on it is slow

Cause: check_timeouts moved the connection to ENDING after 2 s; from then on _parse dropped all bytes, while our side is shut down only after the last open answer, and nothing told the dispatcher.

Change: an incomplete array ends a connection only while no request is open and no answer unsent: the end is then a shutdown that the dispatcher sees at once. After malformed bytes the dispatcher gets `0 last` beside `0 fault` while requests are open.

--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -166,9 +166,14 @@
             self._on_activity(self)
 
     def _reject_stream(self, error: MalformedInputError) -> None:
-        """Stop reading a stream that can't be parsed; the open requests are still answered."""
+        """Stop reading a stream that can't be parsed; the open requests are still answered.
+
+        The dispatcher is told to send no more requests: the connection is shut down only after the answers.
+        """
         self._log.warning("dispatcher_stream_malformed", error=str(error))
         self._writer.write(codec.MALFORMED_STREAM)
+        if self.open_requests:
+            self._writer.write(codec.DRAIN_NOTICE)
         self.read_buffer.clear()
         self._finish()
 
@@ -269,11 +274,14 @@
     def check_timeouts(self, now: int) -> None:
         """Close the connection if the dispatcher does not read, and end it if an array stays incomplete.
 
-        An incomplete array does not close the connection, as other requests may still wait for answers.
+        While a request is open or an answer unsent, an incomplete array does not end the connection: it could
+        not be shut down yet, and the dispatcher would go on writing requests that are dropped.
         """
         limits = self._resource_limits
         if is_write_overdue(now, self._writer.write_started_at, limits):
             self.close()
+        elif self.open_requests or self.unsent_bytes:
+            return
         elif overdue := array_overdue_by(now, self.array_reader.wait_started_at, limits):
             # Received bytes are read first; an array still incomplete at the next check is trickling in.
             is_trickling = self.read_buffer.has_data and overdue > limits.sweep_interval
