Check the timeouts of connections over the limit too

Result: the new test fails before (DRAINING in place of LINGERING) and passes; test_accepting, test_violations, test_closing: 43 pass.

--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -228,7 +228,7 @@
             self.resource_limits.sweep_interval / SECOND, self._sweep
         )
         now = time.monotonic_ns()
-        for connection in list(self.connections):
+        for connection in (*self.connections, *self.evicted):
             connection.check_timeouts(now)
 
     def drain_connections(self) -> None:
--- a/tests/dispatch/test_accepting.py
+++ b/tests/dispatch/test_accepting.py
@@ -86,6 +86,19 @@
         connection._on_drain_timeout(SECOND)
         self.assertEqual((await late_client.read_to_end())[-1][:2], [b"3", b"full"])
 
+    async def test_a_connection_over_the_limit_with_an_incomplete_array_is_ended(self):
+        # It would hold its descriptor until later connections over the limit take its place.
+        await self.client_with_open_request()
+        await self.client_with_open_request()
+        late_client = self.connect_client()
+        late_client.send(call(3)[:25])
+        await self.wait_until(lambda: self.listener.evicted)
+        connection = next(iter(self.listener.evicted))
+        await self.wait_until(lambda: connection.read_buffer.has_data and connection.stream.reading())
+        connection.array_reader.wait_started_at -= 3 * SECOND
+        self.listener._sweep()
+        self.assertIs(connection.state, ConnectionState.LINGERING)
+
     async def test_a_connection_over_the_limit_gets_its_rejection_and_no_reset(self):
         # Connections are closed like this by later connections over the limit, and just before the stop.
         await self.client_with_open_request()
