--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,8 +3,8 @@
 Each line of `KNOWN-RED.txt` describes one test: its name as unittest prints it, the command with the seed
 that shows the failure, the observed failure, and the number of the open issue, separated by ` | `. A listed
 test is run, expected to fail, and printed. A script under `review/` may be listed by its path: it is printed
-and not run. The run fails if a listed test passes, or if a line lacks a field or names a test or a script that
-does not exist.
+and not run. The run fails if a listed test passes, or if a line lacks a field or names a test or a script
+that does not exist.
 """
 
 from __future__ import annotations
