Soak a node from outside: drawn peers and disruptions, audited by the users' pages

Change: soak/plan.py draws settings, requests and disruptions from a seed, free of I/O; stand-ins on top of the fakes carry them out on the program as a process; soak/record.py keeps one line an event from all sides; invariants/node_soak.py audits it by the pages and imports nothing of the node.

Not there yet: restarts of the engine, moved addresses at a reload, directories that lie, half-closing and unread dispatchers, cancelled drains, tenants, memory and descriptors after the load, and the soak of a fleet.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: build all test lint format run demo clean measure-fleet measure-orders measure-decisions measure-listing \
 	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules \
-	measure-places measure-rollout measure-gates measure-plan
+	measure-places measure-rollout measure-gates measure-plan measure-soak
 
 # What a node needs, and no more: the platform calls this.
 build: .venv/built
@@ -52,6 +52,11 @@
 measure-drain measure-schedules measure-places measure-rollout measure-gates measure-plan: all
 	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON)) $(MORE)
 
+# A node with drawn peers and disruptions: SEED=n, FOR=seconds in all, RUN=seconds for each seed, WITHOUT=kind,kind.
+measure-soak: all
+	.venv/bin/python -m measure.soak $(if $(SEED),--seed $(SEED)) $(if $(FOR),--seconds $(FOR)) \
+		$(if $(RUN),--run $(RUN)) $(if $(WITHOUT),--without $(WITHOUT)) $(if $(JSON),--json $(JSON)) $(MORE)
+
 # BEFORE=FOLDER, a checkout of the version to compare with.
 measure-node: all
 	$(if $(BEFORE),.venv/bin/python -m compileall -q $(BEFORE)/oakkeel)
--- a/oakkeel/fakes/dispatcher.py
+++ b/oakkeel/fakes/dispatcher.py
@@ -53,7 +53,7 @@
         self.open_requests[self.last_tag] = sent
         self._write_call(sent.request_class.encode(), fields.encode(), body)
 
-    def _on_response(self, tag: int, outcome: bytes, fields: bytes) -> None:
+    def _on_response(self, tag: int, outcome: bytes, fields: bytes, body: bytes) -> None:
         if sent := self.open_requests.pop(tag, None):
             self.dispatcher.on_request_end(sent, outcome.decode())
 
--- a/oakkeel/fakes/load_clients.py
+++ b/oakkeel/fakes/load_clients.py
@@ -44,7 +44,7 @@
         self._write_call(request_class, fields, b"what")
         return await response
 
-    def _on_response(self, tag: int, outcome: bytes, fields: bytes) -> None:
+    def _on_response(self, tag: int, outcome: bytes, fields: bytes, body: bytes) -> None:
         if (response := self.open_calls.pop(tag, None)) and not response.done():
             response.set_result((outcome, fields))
 
--- a/oakkeel/fakes/node_connection.py
+++ b/oakkeel/fakes/node_connection.py
@@ -34,7 +34,7 @@
         return not self.closing and not self.writer.is_closing() and self.open_count < self.max_open
 
     @abstractmethod
-    def _on_response(self, tag: int, outcome: bytes, fields: bytes) -> None:
+    def _on_response(self, tag: int, outcome: bytes, fields: bytes, body: bytes) -> None:
         """Handle a response."""
 
     @abstractmethod
@@ -43,10 +43,12 @@
 
     def _write_call(self, request_class: bytes, fields: bytes, body: bytes) -> None:
         """Write a call with the tag `last_tag`."""
+        self.writer.write(self._encode_call(request_class, fields, body))
+
+    def _encode_call(self, request_class: bytes, fields: bytes, body: bytes) -> bytes:
+        """Return the bytes of a call with the tag `last_tag`."""
         parts = [b"CALL", b"%d" % self.last_tag, request_class, fields, body]
-        self.writer.write(
-            b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
-        )
+        return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
 
     async def _run(self) -> None:
         with contextlib.suppress(OSError, ValueError, IndexError, asyncio.IncompleteReadError):
@@ -56,7 +58,8 @@
                 if tag == CLOSING_TAG:
                     self.closing = True
                 else:
-                    self._on_response(tag, parts[1], parts[2] if len(parts) > 2 else b"")
+                    fields, body = [*parts[2:4], b"", b""][:2]
+                    self._on_response(tag, parts[1], fields, body)
         self.writer.close()
         self._on_connection_end()
 
