--- a/oakkeel/fakes/stream_server.py
+++ b/oakkeel/fakes/stream_server.py
@@ -28,6 +28,10 @@
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def successor(self) -> StreamServer:
+        """Return another server, not open yet, that serves its connections as this one does."""
+        return StreamServer(self._serve)
+
     def stop_listening(self) -> None:
         """Accept no more connections; open connections stay."""
         if self._server:
--- a/oakkeel/invariants/node_soak.py
+++ b/oakkeel/invariants/node_soak.py
@@ -224,7 +224,7 @@
             for event in self.events
             if request_id in (getattr(event, "request", ""), getattr(event, "client", ""))
         ]
-        if not own:
+        if not own or not request_id:
             return []
         times = [event.time for event in self.events]
         around = self.events[bisect_left(times, own[0].time - 1.0) : bisect_left(times, own[-1].time) + 1]
--- a/oakkeel/soak/bad_clients.py
+++ b/oakkeel/soak/bad_clients.py
@@ -11,6 +11,8 @@
 from oakkeel.soak.record import BadClientAnswered, BadClientConnected
 from oakkeel.soak.world import World
 
+UNKNOWN_IDS_PER_GROUP = 4
+RECENT_REQUESTS = 40  # whose keys and subjects are repeated
 WAIT_S = 4.0  # for an answer or a close
 HOUR_MS = 3_600_000
 
@@ -27,7 +29,7 @@
 
     def send_unknown_ids(self) -> None:
         """Send well-formed requests whose IDs the engine does not know; some repeat keys and subjects."""
-        for group in self.world.plan.groups:
+        for group in self.world.plan.groups * UNKNOWN_IDS_PER_GROUP:
             self._start("unknown ID", self._call(group, self._fields(group)))
 
     def send_malformed(self) -> None:
@@ -53,8 +55,9 @@
             self._start("silent", b"")
 
     def _fields(self, group: Group, ts: int = 0) -> bytes:
+        recent = [request.planned for request in list(self.world.requests.values())[-RECENT_REQUESTS:]]
         planned = self.world.random.choice(
-            [request for request in self.world.plan.requests if request.group == group]
+            [request for request in recent if request.group == group] or self.world.plan.requests
         )
         request_id = f"{self.world.random.getrandbits(64):016x}"
         fields = (
@@ -67,8 +70,8 @@
         return fields.encode()
 
     @staticmethod
-    def _call(group: Group, fields: bytes) -> bytes:
-        return encode(b"CALL", b"1", group.name.encode(), fields, b"made up")
+    def _call(group: Group, fields: bytes, body: bytes = b"made up") -> bytes:
+        return encode(b"CALL", b"1", group.name.encode(), fields, body)
 
     def _start(self, kind: str, data: bytes) -> None:
         self.count += 1
--- a/oakkeel/soak/dispatchers.py
+++ b/oakkeel/soak/dispatchers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from oakkeel.fakes.node_connection import NodeConnection
 from oakkeel.soak.plan import Effect, PlannedRequest
@@ -121,6 +122,13 @@
             number = b"%d" % tag
             self.writer.write(b"*2\r\n$6\r\nCANCEL\r\n$%d\r\n%s\r\n" % (len(number), number))
 
+    def half_close(self) -> None:
+        """End this side of the connection; the answers that are due are still read."""
+        if self.is_writing or self.writer.is_closing():
+            return
+        self.closing = True  # it takes no further request
+        self.writer.write_eof()
+
     def reset(self) -> None:
         """Reset the connection: no answer is owed on it any more."""
         self.is_reset = True
@@ -182,6 +190,8 @@
                 connection = await self._connection(is_slow=bool(write_s))
         except (TimeoutError, OSError):
             return  # a refused connection proves that nothing ran
+        if write_s:
+            await connection.send(self.world.add_request(self._long_run(planned)), 0.0)
         request = self.world.add_request(planned, is_copy)
         await connection.send(request, write_s)
         if time.time() < self.cancels_until and self.world.random.random() < 0.5:
@@ -190,6 +200,11 @@
                 if other is request:
                     connection.cancel(tag)
 
+    def _long_run(self, planned: PlannedRequest) -> PlannedRequest:
+        """Return a request that stays open beside one that is written slowly."""
+        group = self.world.plan.longest_group()
+        return replace(planned, group=group, key=f"{planned.key}-long", work_s=0.8 * group.timeout_s, calls=0)
+
     async def _connection(self, is_slow: bool) -> SoakConnection:
         """Return a connection that takes a request; a slow write goes beside open requests if possible."""
         self.connections = [connection for connection in self.connections if not connection.has_ended]
--- a/oakkeel/soak/engine.py
+++ b/oakkeel/soak/engine.py
@@ -24,6 +24,7 @@
         self.world = world
         self.sends_pieces = False
         self.loses_commands = False
+        self.is_restarting = False  # its runs end without a notice
         self.outbox = b""
         self.send_task: asyncio.Task[None] | None = None
         self.expected_replies: dict[bytes, bytes] = {}  # of runs that wait for a call
@@ -48,6 +49,20 @@
             self.link_ended_at = time.monotonic()
         self.outbox = b""
 
+    async def restart(self) -> None:
+        """Lose all runs and notices, as another process at the same address."""
+        runs = list(self.runs.values())
+        self.is_restarting = True
+        for task in runs:
+            task.cancel()
+        await asyncio.gather(*runs, return_exceptions=True)
+        self.is_restarting = False
+        await self.break_link(0.0)
+        self.notices.clear()
+        self.last_notice_number = 0
+        self.call_notices.clear()
+        self.started_at = time.monotonic()
+
     def _handle_command(self, writer: asyncio.StreamWriter, line: list[bytes], body: bytes) -> None:
         if self.loses_commands:
             return
@@ -141,6 +156,8 @@
         return True
 
     def _send_notice(self, line: bytes, body: bytes) -> None:
+        if self.is_restarting:
+            return
         super()._send_notice(line, body)
         if self.sends_pieces and self.world.random.random() < REPEAT_RATIO:
             self._write(self.notices[-1][1])
--- a/oakkeel/soak/node_run.py
+++ b/oakkeel/soak/node_run.py
@@ -16,6 +16,7 @@
 
 from oakkeel.fakes.directory import Directory
 from oakkeel.fakes.site import free_port
+from oakkeel.fakes.stream_server import StreamServer
 from oakkeel.soak.bad_clients import BadClients
 from oakkeel.soak.catalogue import SoakCatalogue
 from oakkeel.soak.dispatchers import SoakDispatcher
@@ -26,8 +27,10 @@
 
 NODE_COMMAND = f"exec {shlex.quote(sys.executable)} -m oakkeel"
 READY_TIMEOUT_S = 30.0
+EXIT_SLACK_S = 0.3  # on a busy machine, after all connections are closed
 MAX_RELOADS = 3
 RELOAD_INTERVAL_S = 0.06
+OLD_ADDRESS_S = 1.5  # after a reload, the connections to the earlier addresses are closed
 MIN_SLOW_WRITE_S = 0.8
 MAX_SLOW_WRITE_S = 2.9  # a client without an open request is ended before
 BREAK_EVERY_S = (0.08, 0.3)
@@ -57,10 +60,15 @@
             SoakDispatcher(self.world, number, self.port) for number in range(plan.dispatchers)
         ]
         self.bad_clients = BadClients(self.world, self.port)
+        self.earlier_servers: list[StreamServer] = []  # at addresses that the node has left
+        self.directory_port = 0
+        self.config_path = folder / "node.json"
         self.log_path = folder / "node.log"
         self._actions: dict[DisruptionKind, Callable[[Disruption], Awaitable[None]]] = {
             DisruptionKind.ENGINE_BREAK: self._break_engine_link,
             DisruptionKind.ENGINE_PIECES: self._send_pieces,
+            DisruptionKind.ENGINE_RESTART: self._restart_engine,
+            DisruptionKind.HALF_CLOSE: self._half_close,
             DisruptionKind.CATALOGUE_FAULTS: self._spoil_replies,
             DisruptionKind.DISPATCHER_RESET: self._reset_connections,
             DisruptionKind.CANCELS: self._cancel_requests,
@@ -75,11 +83,12 @@
 
     async def play(self) -> list[Event]:
         """Carry out the plan; return the events of all sides in the order in which they were seen."""
-        config = self.folder / "node.json"
-        config.write_text(json.dumps(await self._open_peers()))
+        self._write_configuration(
+            await self.engine.open(), await self.catalogue.open(), await self.directory.open()
+        )
         with open(self.log_path, "wb") as log:
             self.process = await asyncio.create_subprocess_shell(
-                NODE_COMMAND, stderr=log, env={**os.environ, "PROXY_CONFIG": str(config)}
+                NODE_COMMAND, stderr=log, env={**os.environ, "PROXY_CONFIG": str(self.config_path)}
             )
         try:
             await self._wait_until_ready()
@@ -91,11 +100,10 @@
             await self._close_peers()
         return self.world.record.events
 
-    async def _open_peers(self) -> dict[str, object]:
-        """Open the stand-ins; return the node's configuration."""
-        engine, catalogue = await self.engine.open(), await self.catalogue.open()
-        directory = await self.directory.open()
-        return {
+    def _write_configuration(self, engine: int, catalogue: int, directory: int) -> None:
+        """Replace the node's configuration file as a whole; the arguments are the ports of its peers."""
+        self.directory_port = directory
+        configuration = {
             "name": "n1",
             "listen": f"127.0.0.1:{self.port}",
             "engine": f"127.0.0.1:{engine}",
@@ -106,10 +114,16 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
             "settings": self.plan.settings(),
         }
+        written = self.config_path.with_suffix(".new")
+        written.write_text(json.dumps(configuration))
+        written.replace(self.config_path)
 
     async def _close_peers(self) -> None:
-        for peer in (self.engine, self.catalogue, self.directory):
-            await peer.close()
+        await self.engine.close()
+        await self.catalogue.close()
+        await self.directory.close()
+        for server in self.earlier_servers:
+            await server.close()
 
     async def _wait_until_ready(self) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
@@ -136,10 +150,13 @@
         self._log_defects()
 
     async def _stop_node(self) -> None:
-        """Send SIGTERM, and SIGKILL once the time to the stop is over."""
+        """Send SIGTERM, and SIGKILL once the time to the stop is over.
+
+        The node closes its last connections just before the stop, and may end a moment later.
+        """
         self._signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(self.plan.stop_s):
+            async with asyncio.timeout(self.plan.stop_s + EXIT_SLACK_S):
                 code: int | None = await self.process.wait()
         except TimeoutError:
             code = None
@@ -165,6 +182,13 @@
             await asyncio.sleep(self.world.random.uniform(*BREAK_EVERY_S))
         self.engine.sends_pieces = False
 
+    async def _restart_engine(self, disruption: Disruption) -> None:
+        await self.engine.restart()
+
+    async def _half_close(self, disruption: Disruption) -> None:
+        for connection in self._dispatcher_of(disruption).connections:
+            connection.half_close()
+
     async def _send_pieces(self, disruption: Disruption) -> None:
         self.engine.sends_pieces = True
         await asyncio.sleep(disruption.length_s)
@@ -201,9 +225,22 @@
         self.bad_clients.flood_silently(int(disruption.size * MAX_FLOOD))
 
     async def _reload(self, disruption: Disruption) -> None:
+        earlier = []
         for _ in range(1 + int(disruption.size * MAX_RELOADS)):
+            earlier += [self.engine.server, self.catalogue.server]
+            self.engine.server = self.engine.server.successor()
+            self.catalogue.server = self.catalogue.server.successor()
+            self._write_configuration(
+                await self.engine.server.open(), await self.catalogue.server.open(), self.directory_port
+            )
+            self.earlier_servers += earlier[-2:]
             self._signal(signal.SIGHUP)
+            for server in earlier:
+                server.stop_listening()
             await asyncio.sleep(RELOAD_INTERVAL_S)
+        await asyncio.sleep(OLD_ADDRESS_S)
+        for server in earlier:
+            await server.close()
 
     async def _pause(self, disruption: Disruption) -> None:
         self._signal(signal.SIGSTOP)
--- a/oakkeel/soak/plan.py
+++ b/oakkeel/soak/plan.py
@@ -22,7 +22,7 @@
 DISRUPTION_EVERY_S = (0.4, 1.6)
 MAX_LOSS_S = 0.05  # commands of this time may be lost with the engine's link
 MAX_PAUSE_S = 0.5  # of the node's process
-LONG_RUN_RATIO = 0.06  # of the requests, with work of a large part of their timeout
+LONG_RUN_RATIO = 0.02  # of the requests, with work of a large part of their timeout
 LONG_RUN_TIMEOUT_RATIO = (0.3, 0.9)
 
 
@@ -43,18 +43,20 @@
 
     ENGINE_BREAK = "engine-break"  # the link is reset again and again, and the last commands may be lost
     ENGINE_PIECES = "engine-pieces"  # notices in pieces, some twice, remarks between them
+    ENGINE_RESTART = "engine-restart"  # another process at the same address, which knows no earlier run
     CATALOGUE_FAULTS = "catalogue-faults"  # replies missing, doubled, refused, under other IDs, resets
     DISPATCHER_RESET = "dispatcher-reset"
+    HALF_CLOSE = "half-close"  # the dispatcher ends its side of its connections, and reads on
     CANCELS = "cancels"  # requests that are taken back
     SLOW_WRITE = "slow-write"  # requests whose bytes come one after the other for up to 3 s
     UNKNOWN_IDS = "unknown-ids"  # clients with IDs that the engine does not know
     MALFORMED = "malformed"  # clients whose bytes can't be read, or whose fields are out of range
     SILENT_FLOOD = "silent-flood"
-    RELOAD = "reload"  # SIGHUP, up to three within 0.2 s
+    RELOAD = "reload"  # new addresses of engine and catalogue with SIGHUP, up to three within 0.2 s
     PAUSE = "pause"  # SIGSTOP and SIGCONT
 
 
-FREQUENT_KINDS = (DisruptionKind.ENGINE_BREAK, DisruptionKind.SLOW_WRITE)
+FREQUENT_KINDS = (DisruptionKind.ENGINE_BREAK, DisruptionKind.SLOW_WRITE, DisruptionKind.UNKNOWN_IDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +115,10 @@
         """Return the plan without one of its disruptions."""
         return replace(self, disruptions=tuple(other for other in self.disruptions if other != disruption))
 
+    def longest_group(self) -> Group:
+        """Return the group whose requests may stay open for longest."""
+        return max(self.groups, key=lambda group: group.timeout_s)
+
     def settings(self) -> dict[str, Any]:
         """Return the `settings` object of the node's configuration."""
         return {
