Read what came before a connection with an overdue array is ended

Cause: check_timeouts took an array that is overdue for more than one interval of the checks for one that an earlier check had found incomplete. After a stall of the process (SIGSTOP of 446 ms here) there was no earlier check: the connection was ended with the rest of the array and complete requests unread, which were dropped. Evidence: the record has the end of the connection in the millisecond of SIGCONT, the slow write begun 1.9 s before the stop.

Change: the check marks the array; the connection is ended after the next read if the same array is still incomplete.

--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -37,6 +37,7 @@
         "_lifecycle",
         "_log",
         "_on_activity",
+        "_overdue_since",
         "_progress",
         "_resource_limits",
         "_writer",
@@ -67,6 +68,9 @@
         )
         self.array_reader = ArrayReader(self.read_buffer, resource_limits.max_tokens, self._commands.handle)
         self._progress = Progress(stream)
+        # Start of the wait for an array that is overdue and incomplete, in monotonic nanoseconds: if the next
+        # read does not complete the array, the connection is ended. 0: none is overdue.
+        self._overdue_since = 0
 
     @property
     def state(self) -> ConnectionState:
@@ -146,6 +150,8 @@
                 return
             self._parse()
             cpu_time = time.thread_time_ns() - started_at
+            if self._overdue_since and self._overdue_since == self.array_reader.wait_started_at:
+                self._finish()  # the same array is still incomplete: it is trickling in
             # Read no more requests from a dispatcher until it has read enough of its answers.
             while self.unsent_bytes > limits.max_unsent_bytes:
                 await self._progress.wait()
@@ -283,7 +289,8 @@
         elif self.open_requests or self.unsent_bytes:
             return
         elif overdue := array_overdue_by(now, self.array_reader.wait_started_at, limits):
-            # Received bytes are read first; an array still incomplete at the next check is trickling in.
-            is_trickling = self.read_buffer.has_data and overdue > limits.sweep_interval
-            if not has_incoming(self.stream) or is_trickling:
+            if not has_incoming(self.stream):
                 self._finish()
+            elif self.read_buffer.has_data and overdue > limits.sweep_interval:
+                # The rest of the array may be among the unread bytes, also after a stall of this process.
+                self._overdue_since = self.array_reader.wait_started_at
