Fail a test of the node when a HALT or SKIP names a request that never ran

Cause: since duplicates are checked, the fake engine of the node's tests took each such command without a word, so that a stray one, which the queue of commands showed before, went unseen. Change: it records them, and each test that sends no duplicates asserts that there was none.

--- a/measure/soak.py
+++ b/measure/soak.py
@@ -64,12 +64,11 @@
     return frozenset(DisruptionKind(name) for name in text.split(",") if name)
 
 
-async def measure(arguments: Any) -> int:
+async def measure(arguments: Any, without: frozenset[DisruptionKind]) -> int:
     """Play the seeds until the time is over; return the exit code."""
     results = SoakResults()
     started_at = time.monotonic()
     seed = arguments.seed
-    without = parse_kinds(arguments.without)
     while not results.seeds or time.monotonic() - started_at + arguments.run < arguments.seconds:
         plan = draw_plan(seed, arguments.run, without)
         breaches, audit = await play(plan, arguments.record)
@@ -83,7 +82,8 @@
         if breaches:
             results.broken_seeds.append(seed)
             show(audit, breaches)
-            print_line(f"  again: make measure-soak SEED={seed} FOR=0 RUN={arguments.run:g}")
+            left_out = f" WITHOUT={arguments.without}" if arguments.without else ""
+            print_line(f"  again: make measure-soak SEED={seed} FOR=0 RUN={arguments.run:g}{left_out}")
             if arguments.shrink:
                 small = await shrink(plan, breaches[0].rule)
                 print_line(f"  rule {breaches[0].rule} still breaks with {list(small.disruptions)}")
@@ -102,7 +102,13 @@
     arguments = parse_arguments(
         __doc__ or "", seed=1, seconds=60.0, run=20.0, without="", record="", shrink=0
     )
-    return asyncio.run(measure(arguments))
+    try:
+        without = parse_kinds(arguments.without)
+    except ValueError as error:
+        kinds = ", ".join(kind.value for kind in DisruptionKind)
+        print(f"WITHOUT: {error}; expected some of {kinds}", file=sys.stderr)
+        return 2
+    return asyncio.run(measure(arguments, without))
 
 
 if __name__ == "__main__":
--- a/tests/node/test_duplicates.py
+++ b/tests/node/test_duplicates.py
@@ -146,6 +146,8 @@
 class DuplicateRequestTest(NodeProcessTest):
     """Duplicates over sockets: `order` runs at most once in a window of 5 s."""
 
+    sends_duplicates = True
+
     def send_order(self, dispatcher, key: str = "k1", body: bytes = b"two seats", **options) -> str:
         return dispatcher.call("order", body, fields=f",opkey={key}" + options.pop("fields", ""), **options)
 
--- a/tests/node/test_request_handling.py
+++ b/tests/node/test_request_handling.py
@@ -147,6 +147,7 @@
         self.assertEqual(dispatcher.next_answer()[1], b"fault")
 
     def test_duplicates_of_a_cached_request_get_its_result(self):
+        self.sends_duplicates = True
         dispatcher, request_id = self.start_request("order", fields=",opkey=k1")
         dispatcher.call("order", fields=",opkey=k1,resent=1")
         self.engine.send_done(request_id, body=b"once")
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -118,6 +118,7 @@
 
     def __init__(self) -> None:
         self.run_ids: set[bytes] = set()  # IDs of all requests that were run
+        self.checked_ids: list[bytes] = []  # IDs without a run that a HALT or SKIP named
         self.refuse_next_check = False  # as if the ID of the request were unknown
         self.server = socket.create_server(("127.0.0.1", 0))
         self.gauges = "0.1 0.0 0.1 1.0"
@@ -178,6 +179,7 @@
         commands.put(("END",))
 
     def _answer_check(self, line: list[bytes]) -> None:
+        self.checked_ids.append(line[1])
         if self.refuse_next_check:
             self.refuse_next_check = False
             self.send_line(f"NO {line[0].decode()} {line[1].decode()}")
@@ -235,6 +237,7 @@
 
     command: ClassVar[list[str]] = [sys.executable, "-m", "oakkeel"]
     variables: ClassVar[dict[str, str]] = {}
+    sends_duplicates = False  # only the ID of a duplicate is checked: any other such command is an error
 
     def setUp(self) -> None:
         self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
@@ -243,6 +246,12 @@
         self.directory.settimeout(TIMEOUT_S)
         self.process: subprocess.Popen | None = None
         self.addCleanup(self._close)
+        self.addCleanup(self._assert_no_stray_command)
+
+    def _assert_no_stray_command(self) -> None:
+        """Assert that no HALT or SKIP named a request that never ran, unless the test sends duplicates."""
+        if not self.sends_duplicates:
+            self.assertEqual(self.engine.checked_ids, [])
 
     def _close(self) -> None:
         if self.process:
@@ -296,6 +305,7 @@
         self.engine, self.catalogue = Engine(), socket.create_server(("127.0.0.1", 0))
         self.engine.started_at = old[0].started_at  # the same engine at another address
         self.engine.run_ids = old[0].run_ids
+        self.engine.checked_ids = old[0].checked_ids
         self.directory = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.directory.bind(("127.0.0.1", 0))
         self.directory.settimeout(TIMEOUT_S)
