--- a/review/second/stand_ins.py
+++ b/review/second/stand_ins.py
@@ -194,7 +194,7 @@
         self._write(notice)
 
     def _write(self, data: bytes) -> None:
-        if self.link:
+        if self.link and not self.link.is_closing():
             self.link.write(data)
 
     async def close(self) -> None:
@@ -425,9 +425,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     code = NOT_RUN
+
+    async def run(temporary: str) -> int:
+        code: int = await case(record, Path(temporary), trouble)
+        await asyncio.sleep(0.3)  # closed connections end
+        return code
+
     with tempfile.TemporaryDirectory() as temporary:
         try:
-            code = asyncio.run(case(record, Path(temporary), trouble))
+            code = asyncio.run(run(temporary))
         except Exception as error:  # the case could not run
             record.add("test", f"could not run: {type(error).__name__}: {error}")
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[code]
