--- a/review/second/stand_ins.py
+++ b/review/second/stand_ins.py
@@ -343,6 +343,7 @@
                 self.requests.over.add(request_id)
                 self.answers.setdefault(request_id, []).append((time.time(), words[1].decode(), body))
         self.ended_at = time.time()
+        self.writer.close()
         self.record.add(self.name, f"connection ended, {len(self.open)} requests open")
 
     def words(self, request_id: str) -> list[str]:
