Handle repeats of what may have run on connections over the limit

Cause: a connection over the limit answered each call with `full` before it was read. And connections that the node had shut down filled the table for up to 1 s: with bytes waiting on them they were never chosen to make room.

Change: `full` is said only to a request that was read and repeats nothing that may have run; a connection that owes an answer is not closed for a later one; a connection that is shut down makes room first. `eviction_candidate` has a module of its own.

--- a/oakkeel/dispatch/answer_writer.py
+++ b/oakkeel/dispatch/answer_writer.py
@@ -29,9 +29,19 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """The number of bytes of answers that the kernel has not taken yet."""
+        """The number of bytes of answers whose writes are not known to be finished."""
         return self._sending_bytes + len(self._backlog)
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the kernel takes no more bytes of answers for now."""
+        return self._stream.writing()
+
+    def flush(self) -> None:
+        """Pass the joined answers to the kernel now, if it takes them."""
+        if self._backlog and not self.is_blocked:
+            self._send_backlog()
+
     def write(self, data: bytes) -> None:
         """Send `data` at once, or after the write in progress."""
         self.has_written = True
--- a/oakkeel/dispatch/command_handler.py
+++ b/oakkeel/dispatch/command_handler.py
@@ -29,6 +29,9 @@
     def has_request(self, request_id: bytes) -> bool:
         """Return whether a request with this ID is open or still has a run."""
 
+    def repeats_known_request(self, request: NodeRequest) -> bool:
+        """Return whether a request repeats one that may have run, by its idempotency key."""
+
     def is_healthy(self) -> bool:
         """Return whether the node accepts requests, for health checks."""
 
@@ -51,7 +54,7 @@
         "_write",
         "has_received_request",
         "open_requests",
-        "rejects_all",
+        "rejects_new_requests",
         "violations",
     )
 
@@ -73,7 +76,7 @@
         self._on_idle = on_idle
         self.open_requests: dict[int, NodeRequest] = {}  # by tag
         self.has_received_request = False
-        self.rejects_all = False  # the connection is over the limit: each of its calls is rejected
+        self.rejects_new_requests = False  # the connection is over the limit
         self.violations = 0
 
     def handle(self, tokens: list[bytes]) -> None:
@@ -130,27 +133,40 @@
 
     def _handle_call(self, tag: int, tokens: list[bytes]) -> None:
         owner = self._owner
-        reader = owner.reader
-        if reader is None or self.rejects_all:
-            self._write(
-                codec.encode_answer(tag, codec.REJECTED, owner.load_report(), retry_after=owner.retry_after())
-            )
+        if owner.reader is None:
+            self._reject(tag)
             return
-        if len(self.open_requests) >= self._resource_limits.max_open_requests:
-            self._write(codec.encode_answer(tag, codec.REJECTED, owner.load_report()))
-            raise ProtocolViolationError(
-                f"more than {self._resource_limits.max_open_requests} open requests on one connection"
-            )
         try:
-            request = reader.read(tag, tokens, self._channel)
+            request = owner.reader.read(tag, tokens, self._channel)
             if owner.has_request(request.request_id):  # a reused ID must not affect the open request
                 raise codec.MalformedRequestError("req is the ID of an open request", request.request_id)
         except codec.MalformedRequestError as error:
             self._reject_malformed(tag, str(error), error.request_id)
             return
-        self.open_requests[tag] = request
-        self.has_received_request = True
-        owner.on_request_received(request)
+        has_room = len(self.open_requests) < self._resource_limits.max_open_requests
+        # A request that may have run is never rejected: its client would let it run elsewhere.
+        if self.rejects_new_requests and not owner.repeats_known_request(request):
+            self._reject(tag)
+        elif has_room:
+            self.open_requests[tag] = request
+            self.has_received_request = True
+            owner.on_request_received(request)
+        else:
+            self._reject_over_limit(tag, request)
+
+    def _reject(self, tag: int) -> None:
+        owner = self._owner
+        self._write(
+            codec.encode_answer(tag, codec.REJECTED, owner.load_report(), retry_after=owner.retry_after())
+        )
+
+    def _reject_over_limit(self, tag: int, request: NodeRequest) -> None:
+        """Answer a request that exceeds the limit of open requests; raises ProtocolViolationError."""
+        status = codec.FAILED if self._owner.repeats_known_request(request) else codec.REJECTED
+        self._write(codec.encode_answer(tag, status, self._owner.load_report()))
+        raise ProtocolViolationError(
+            f"more than {self._resource_limits.max_open_requests} open requests on one connection"
+        )
 
     def _reject_malformed(self, tag: int, reason: str, request_id: bytes = b"") -> None:
         self._write(codec.encode_answer(tag, codec.FAILED, self._owner.load_report()))
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -10,7 +10,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
+from typing import Protocol
 
 from tornado.iostream import StreamClosedError
 
@@ -29,6 +29,16 @@
 from oakkeel.units import SECOND
 
 
+class ConnectionObserver(Protocol):
+    """The methods of the listener that its connections call."""
+
+    def on_activity(self, connection: Connection) -> None:
+        """Note that a connection has handled arrays, or has become idle."""
+
+    def on_shut_down(self, connection: Connection) -> None:
+        """Note that the node has shut down its side of a connection, which owes no answer any more."""
+
+
 class Connection:
     """Reads the commands of one dispatcher and ends without losing an answer."""
 
@@ -36,7 +46,7 @@
         "_commands",
         "_lifecycle",
         "_log",
-        "_on_activity",
+        "_observer",
         "_overdue_since",
         "_progress",
         "_resource_limits",
@@ -53,13 +63,13 @@
         resource_limits: ResourceLimits,
         owner: ConnectionOwner,
         log: EventLog,
-        on_activity: Callable[[Connection], None],
+        observer: ConnectionObserver,
     ) -> None:
-        """`on_activity` is called with the connection after arrays were handled, and when it becomes idle."""
+        """Start open; `serve` reads."""
         self.stream = stream
         self._resource_limits = resource_limits
         self._log = log
-        self._on_activity = on_activity
+        self._observer = observer
         self.read_buffer = ReadBuffer(pool)
         self._lifecycle = ConnectionLifecycle()
         self._writer = AnswerWriter(stream, self._shut_down_if_finished)
@@ -92,6 +102,11 @@
         """The number of bytes of answers that are not sent yet."""
         return self._writer.unsent_bytes
 
+    @property
+    def owes_answers(self) -> bool:
+        """Whether a request is open, or the kernel does not take an answer: a close now would lose it."""
+        return bool(self.open_requests) or self._writer.is_blocked
+
     def answer(
         self,
         request: NodeRequest,
@@ -169,7 +184,7 @@
             self._reject_stream(error)
             return
         if any_handled:
-            self._on_activity(self)
+            self._observer.on_activity(self)
 
     def _reject_stream(self, error: MalformedInputError) -> None:
         """Stop reading a stream that can't be parsed; the open requests are still answered.
@@ -222,7 +237,7 @@
         self._shut_down_if_finished()
 
     def _on_became_idle(self) -> None:
-        self._on_activity(self)
+        self._observer.on_activity(self)
         self._shut_down_if_finished()
 
     def _shut_down_if_finished(self) -> None:
@@ -245,10 +260,11 @@
         with contextlib.suppress(OSError):  # already reset
             self.stream.socket.shutdown(socket.SHUT_WR)
         self._lifecycle.start_timer(self._resource_limits.linger_timeout, self.close)
+        self._observer.on_shut_down(self)
 
     def reject_all(self) -> None:
-        """Reject all requests, as the connection is over the limit, and drain it after its grace."""
-        self._commands.rejects_all = True
+        """Reject new requests, as the connection is over the limit, and drain it after its grace."""
+        self._commands.rejects_new_requests = True
         with contextlib.suppress(BlockingIOError, OSError):  # no bytes yet, or a reset: `serve` fails
             self.read_buffer.receive(self.stream.socket)
         self._parse()
@@ -271,7 +287,9 @@
         Received bytes are read first: a close with bytes unread would reset answers that are in flight.
         """
         if not self.stream.closed():
-            if self.state is not ConnectionState.OPEN and not self.unsent_bytes:
+            self._writer.flush()
+        if not self.stream.closed():  # a failed write closes it
+            if self.state is not ConnectionState.OPEN and not self._writer.is_blocked:
                 discard_received(self.stream.socket)
             self.stream.close()
         self._lifecycle.cancel_timer()
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -7,11 +7,10 @@
 import errno
 import socket
 import time
-from collections.abc import Mapping
 
 from oakkeel.dispatch.command_handler import ConnectionOwner
 from oakkeel.dispatch.connection import Connection
-from oakkeel.dispatch.socket_state import has_incoming
+from oakkeel.dispatch.eviction import eviction_candidate, oldest_without_answers
 from oakkeel.log import EventLog, describe_error
 from oakkeel.resource_limits import BUFFERS_PER_STREAM, ResourceLimits
 from oakkeel.stream_buffers import BufferPool, HalfClosingStream
@@ -24,32 +23,6 @@
 RESOURCE_ERRNOS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
-def eviction_candidate(
-    without_requests: Mapping[Connection, int],
-    idle: Mapping[Connection, int],
-    now: int,
-    limits: ResourceLimits,
-) -> Connection | None:
-    """Return the connection to close for a new one, so that no request and no answer is lost.
-
-    Candidates in this order: the connection that has sent nothing for longest, the connection idle for
-    longest, a newly accepted connection, and a connection with an incomplete array. A connection with an open
-    request, an unsent answer or unread bytes is never returned. Both mappings have the time of the last
-    activity in nanoseconds of the monotonic clock, as `now`, the oldest first.
-    """
-    grace_start = now - limits.new_connection_grace
-    silent = [connection for connection, since in without_requests.items() if since <= grace_start]
-    in_grace = [connection for connection, since in without_requests.items() if since > grace_start]
-    for connection in (*silent, *idle, *in_grace):
-        if connection.is_idle():
-            return connection
-    with_incomplete_array = silent  # those that are not idle have sent a part of an array
-    for connection in with_incomplete_array:
-        if not (connection.open_requests or connection.unsent_bytes or has_incoming(connection.stream)):
-            return connection
-    return None
-
-
 class Listener:
     """Accepts connections of dispatchers, a few at a time, and limits their number."""
 
@@ -70,6 +43,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         # Monotonic times of the last activity of connections without a request yet, the oldest first.
         self.without_requests: dict[Connection, int] = {}
+        # Connections whose side of the node is shut down, the earliest first.
+        self.lingering: dict[Connection, None] = {}
         # Connections that are closing, as they are over the limit; the oldest first.
         self.evicted: dict[Connection, None] = {}
         self.idle: dict[Connection, int] = {}  # time since which no request is open, the oldest first
@@ -168,15 +143,14 @@
             max_buffer_size=self.resource_limits.buffer_size,
             read_chunk_size=self.resource_limits.buffer_size,
         )
-        connection = Connection(
-            stream, self.pool, self.resource_limits, self.owner, self.log, self._note_activity
-        )
+        connection = Connection(stream, self.pool, self.resource_limits, self.owner, self.log, self)
         if has_room:
             self.connections.add(connection)
             self.without_requests[connection] = time.monotonic_ns()
-        else:
-            self._track_evicted(connection)
+        elif self._track_evicted(connection):
             connection.reject_all()
+        else:
+            connection.close()  # before anything is read, which proves that nothing ran
         task = asyncio.ensure_future(self._serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -188,29 +162,35 @@
         """
         self.log.warning("descriptors_exhausted", reason=reason)
         connection = eviction_candidate(
-            self.without_requests, self.idle, time.monotonic_ns(), self.resource_limits
+            self.lingering, self.without_requests, self.idle, time.monotonic_ns(), self.resource_limits
         )
         if connection is None:
             return False
         self._remove(connection)
-        if connection.evict():
-            self._track_evicted(connection)
+        if connection.evict() and not self._track_evicted(connection):
+            connection.close()
         return True
 
-    def _track_evicted(self, connection: Connection) -> None:
+    def _track_evicted(self, connection: Connection) -> bool:
         """Let a connection close gracefully on a descriptor reserved for evictions.
 
-        At the limit, the oldest evicted connection is closed at once.
+        At the limit, the oldest evicted connection that owes no answer is closed at once. Returns False if
+        each evicted connection owes an answer: `connection` is not tracked then.
         """
         while len(self.evicted) >= self.resource_limits.max_evicted_connections:
-            next(iter(self.evicted)).close()
-            self.evicted.pop(next(iter(self.evicted)))
+            oldest = oldest_without_answers(self.evicted)
+            if oldest is None:
+                return False
+            oldest.close()
+            del self.evicted[oldest]
         self.evicted[connection] = None
+        return True
 
     def _remove(self, connection: Connection) -> None:
         self.connections.discard(connection)
         self.without_requests.pop(connection, None)
         self.idle.pop(connection, None)
+        self.lingering.pop(connection, None)
         self.evicted.pop(connection, None)
         self.connection_closed.set()
 
@@ -257,7 +237,13 @@
         self.idle_timeout = timeout
         self._drain_idle()
 
-    def _note_activity(self, connection: Connection) -> None:
+    def on_shut_down(self, connection: Connection) -> None:
+        """Note that the node has shut down its side of a connection, which owes no answer any more."""
+        if connection in self.connections:
+            self.lingering[connection] = None
+
+    def on_activity(self, connection: Connection) -> None:
+        """Note that a connection has handled arrays, or has become idle."""
         if connection not in self.connections:
             return  # evicted: it only finishes its open requests
         self.without_requests.pop(connection, None)
--- a/oakkeel/node/node.py
+++ b/oakkeel/node/node.py
@@ -195,6 +195,10 @@
         """Return whether a request with this ID or its run is open."""
         return request_id in self.open_requests
 
+    def repeats_known_request(self, request: NodeRequest) -> bool:
+        """Return whether a request repeats one that may have run, by its idempotency key."""
+        return self.response_cache.repeats_known_request(request, time.monotonic_ns())
+
     def on_client_disconnected(self, request: NodeRequest) -> None:
         """Notify the handler that the client no longer waits."""
         if request.awaits_answer:
--- a/oakkeel/node/response_cache.py
+++ b/oakkeel/node/response_cache.py
@@ -63,6 +63,10 @@
         request.duplicate_of = entry
         return True
 
+    def repeats_known_request(self, request: NodeRequest, now: int) -> bool:
+        """Return whether a request repeats one that runs at most once and may have run."""
+        return request.request_class.at_most_once and self.find_original(request, now)
+
     def has_key_mismatch(self, request: NodeRequest) -> bool:
         """Return whether a duplicate has the key of the original request, but a different body.
 
--- a/tests/dispatch/listener_case.py
+++ b/tests/dispatch/listener_case.py
@@ -107,6 +107,7 @@
         # Ends a test whose event loop never yields, or whose tearDown hangs.
         faulthandler.dump_traceback_later(TEST_TIMEOUT, exit=True)
         self.received_requests, self.disconnected_requests = [], []
+        self.known_request_ids: set[bytes] = set()  # of requests that repeat one that has run
         self.reader = RequestReader(
             FakeHost(request_classes=[{}]).limits, ["quote"], [], self.resource_limits
         )
@@ -133,6 +134,9 @@
     def has_request(self, request_id: bytes) -> bool:
         return False
 
+    def repeats_known_request(self, request) -> bool:
+        return request.request_id in self.known_request_ids
+
     def is_healthy(self) -> bool:
         return True
 
--- a/tests/dispatch/test_accepting.py
+++ b/tests/dispatch/test_accepting.py
@@ -129,6 +129,66 @@
         self.assertEqual((await client.read_answer(1))[1], b"ok")
         self.assertEqual((await other.read_answer(1))[1], b"ok")
 
+    async def test_a_repeat_of_a_known_request_over_the_limit_is_handled_and_not_rejected(self):
+        # Rejected as one that never ran, it would run a second time on another node (review/7).
+        await self.client_with_open_request()
+        await self.client_with_open_request()
+        self.known_request_ids.add(b"%016x" % 4)
+        late_client = self.connect_client()
+        late_client.send(call(3) + call(4))
+        self.assertEqual((await late_client.read_answer(3))[1], b"full")
+        await self.wait_until(lambda: len(self.received_requests) == 3)
+        self.received_requests.reverse()
+        self.answer()
+        self.assertEqual((await late_client.read_answer(4))[1], b"ok")
+
+    async def test_a_repeat_over_the_limit_keeps_its_connection_in_a_flood_until_it_is_answered(self):
+        # Later connections over the limit take the descriptors of earlier ones that owe no answer.
+        await self.client_with_open_request()
+        await self.client_with_open_request()
+        self.known_request_ids.add(b"%016x" % 4)
+        repeating_client = self.connect_client()
+        repeating_client.send(call(4))
+        await self.wait_until(lambda: len(self.received_requests) == 3)
+        for tag in range(10, 70):
+            flood_client = self.connect_client()
+            flood_client.send(call(tag))
+            self.assertEqual((await flood_client.read_answer(tag))[1], b"full")
+            self.assertLessEqual(len(self.listener.evicted), self.resource_limits.max_evicted_connections)
+        self.received_requests.reverse()
+        self.answer()
+        self.assertEqual((await repeating_client.read_answer(4))[1], b"ok")
+
+    async def test_connections_over_the_limit_are_closed_unread_while_all_descriptors_owe_answers(self):
+        await self.client_with_open_request()
+        await self.client_with_open_request()
+        count = self.resource_limits.max_evicted_connections
+        self.known_request_ids.update(b"%016x" % tag for tag in range(10, 10 + count))
+        repeating_clients = [self.connect_client() for _ in range(count)]
+        for tag, client in enumerate(repeating_clients, 10):
+            client.send(call(tag))
+        await self.wait_until(lambda: len(self.received_requests) == 2 + count)
+        late_client = self.connect_client()
+        self.assertEqual(await late_client.read_to_end(), [])
+        self.assertEqual(len(self.listener.evicted), count)
+        for _ in range(2 + count):
+            self.answer()
+        for tag, client in enumerate(repeating_clients, 10):
+            self.assertEqual((await client.read_answer(tag))[1], b"ok")
+
+    async def test_connections_that_are_shut_down_make_room_before_idle_ones(self):
+        # In a flood of bad clients, connections that only wait for their close would fill the table for 1 s.
+        _, idle = await self.idle_client()
+        bad_client, bad = await self.connected_client()
+        bad_client.send(b"GET / HTTP/1.1\r\n")
+        await self.wait_until(lambda: bad.state is ConnectionState.LINGERING)
+        client, _ = await self.client_with_open_request()
+        self.answer()
+        self.assertEqual((await client.read_answer(1))[1], b"ok")
+        self.assertIs(idle.state, ConnectionState.OPEN)
+        self.assertIs(bad.state, ConnectionState.LINGERING)  # it is not reset: it may not have read its end
+        self.assertEqual((await bad_client.read_to_end())[0][:2], [b"0", b"fault"])
+
     async def test_a_thousand_connects_and_resets_leak_nothing(self):
         for _ in range(1000):
             self.connect_client().close(reset=True)
--- a/tests/dispatch/test_listener.py
+++ b/tests/dispatch/test_listener.py
@@ -26,10 +26,11 @@
 
         listener = Listener(("127.0.0.1", 0), BufferPool(8192, 9), RESOURCE_LIMITS, None, EVENT_LOG)
         self.addCleanup(listener.socket.close)
-        old, new, idle = FakeConnection(), FakeConnection(), FakeConnection()
+        old, new, idle, shut_down = (FakeConnection() for _ in range(4))
+        listener.lingering = {shut_down: None}
         listener.without_requests = {old: time.monotonic_ns() - SECOND, new: time.monotonic_ns() + SECOND}
         listener.idle = {idle: 0}
-        for closed in (old, idle, new):
+        for closed in (shut_down, old, idle, new):
             self.assertTrue(listener._evict_one("connection_limit"))
             self.assertTrue(closed.closed)
         self.assertFalse(listener._evict_one("connection_limit"))
--- a/tests/node/test_duplicates.py
+++ b/tests/node/test_duplicates.py
@@ -360,6 +360,42 @@
         self.assertEqual(dispatcher.next_answer()[1::2], (b"ok", b"result"))
         self.assertTrue(self.engine.commands.empty())
 
+    def test_a_repeat_on_a_connection_over_the_limit_gets_the_result(self):
+        # While other clients fill the table, `full` would let the request run again elsewhere (review/7).
+        limits = RESOURCE_LIMITS
+        sockets = limits.reserved_sockets + limits.max_call_links + limits.max_evicted_connections + 2
+        self.start_node(limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets})
+        first = self.dispatcher()
+        request_id = first.call("order", fields=",opkey=k1")
+        self.assertEqual(self.engine.next_command()[:2], ("RUN", request_id))
+        self.engine.send_done(request_id)
+        self.assertEqual(first.next_answer()[1::2], (b"ok", b"result"))
+        for dispatcher in (first, self.dispatcher()):
+            request_id = dispatcher.call("pay")
+            self.assertEqual(self.engine.next_command()[:2], ("RUN", request_id))
+        late = self.dispatcher()
+        late.call("order", fields=",opkey=k1")
+        late.call("order", fields=",opkey=k2")
+        answers = sorted(late.next_answer() for _ in range(2))
+        self.assertEqual([answer[:2] for answer in answers], [(1, b"ok"), (2, b"full")])
+        self.assertEqual(answers[0][3], b"result")
+
+    def test_a_repeat_beyond_the_open_requests_of_a_connection_is_not_rejected(self):
+        self.start_node()
+        dispatcher = self.dispatcher()
+        request_id = dispatcher.call("order", fields=",opkey=k1")
+        self.assertEqual(self.engine.next_command()[:2], ("RUN", request_id))
+        self.engine.send_done(request_id)
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        for _ in range(RESOURCE_LIMITS.max_open_requests):
+            dispatcher.call("pay")
+        dispatcher.call("order", fields=",opkey=k1")
+        statuses = {}
+        while dispatcher.tag not in statuses:
+            tag, status, _, _ = dispatcher.next_answer()
+            statuses[tag] = status
+        self.assertEqual(statuses[dispatcher.tag], b"fault")
+
     def test_the_check_of_a_duplicate_is_sent_again_after_a_lost_link(self):
         self.start_node(settings=self.read_settings())
         dispatcher, other_dispatcher = self.dispatcher(), self.dispatcher()
