Bound what all connections together take of a pass of the event loop

Change: the dispatchers' sockets are polled apart, a few events a pass; connections take turns, the least active first, of at most 8 requests; few are accepted while more is ready. A timer answers what is due at once. Dropped input is read in large steps. The accepts after the grace end with the drain.

--- a/oakkeel/admission/controller.py
+++ b/oakkeel/admission/controller.py
@@ -226,6 +226,15 @@
         """Return the nanoseconds after which a rejected client may retry at the present load."""
         return self.node.retry_after()
 
+    def end_overdue(self, now: int, token: int) -> None:
+        """Answer the requests of a timer whose deadline has passed; `timer_expired` may follow later.
+
+        A host calls it where its gauges are not at hand: an answer that is due must not wait for them.
+        """
+        for request in self.timers.at(token):
+            if self.timers.is_due(now, request.deadline):
+                self.request_ends.end_without_result(now, request)
+
     def timer_expired(self, now: int, token: int, gauges: Gauges) -> None:
         """Poll, or act on the requests whose timers belong to this token."""
         self.concurrency.observe(now, gauges.run_queue - self.occupancy.run_slots_in_use())
--- a/oakkeel/admission/request_timers.py
+++ b/oakkeel/admission/request_timers.py
@@ -38,6 +38,10 @@
         """Return whether `due_at` has passed or is less than a step ahead: its timer may fire early."""
         return now + self.step > due_at
 
+    def at(self, token: int) -> list[Request]:
+        """Return the requests of the step of this token."""
+        return self.steps.get(token, [])
+
     def take_expired(self, token: int) -> list[Request]:
         """Remove the step of this token, and return its requests."""
         return self.steps.pop(token, [])
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -20,13 +20,13 @@
 from oakkeel.dispatch.command_handler import CommandHandler, ConnectionOwner
 from oakkeel.dispatch.connection_state import ConnectionLifecycle, ConnectionState
 from oakkeel.dispatch.progress import Progress
+from oakkeel.dispatch.read_turns import ReadTurns
 from oakkeel.dispatch.socket_state import discard_received, has_hung_up, has_incoming
 from oakkeel.dispatch.timeouts import array_overdue_by, is_write_overdue, read_pause
 from oakkeel.log import EventLog
 from oakkeel.request import NodeRequest
 from oakkeel.resource_limits import ResourceLimits
 from oakkeel.stream_buffers import BufferPool, HalfClosingStream, MalformedInputError, ReadBuffer
-from oakkeel.units import SECOND
 
 
 class ConnectionObserver(Protocol):
@@ -44,12 +44,16 @@
 
     __slots__ = (
         "_commands",
+        "_granted_turn",
         "_lifecycle",
         "_log",
         "_observer",
         "_overdue_since",
         "_progress",
         "_resource_limits",
+        "_turn_cpu_time",
+        "_turn_not_before",
+        "_turns",
         "_writer",
         "array_reader",
         "read_buffer",
@@ -64,8 +68,9 @@
         owner: ConnectionOwner,
         log: EventLog,
         observer: ConnectionObserver,
+        turns: ReadTurns,
     ) -> None:
-        """Start open; `serve` reads."""
+        """Start open; `serve` reads, in its `turns`."""
         self.stream = stream
         self._resource_limits = resource_limits
         self._log = log
@@ -76,8 +81,12 @@
         self._commands = CommandHandler(
             self, self._writer.write, resource_limits, owner, log, self._on_became_idle
         )
-        self.array_reader = ArrayReader(self.read_buffer, resource_limits.max_tokens, self._commands.handle)
+        self.array_reader = ArrayReader(self.read_buffer, resource_limits, self._commands.handle)
         self._progress = Progress(stream)
+        self._turns = turns
+        self._granted_turn: asyncio.Future[None] | None = None  # ends when the last turn asked for is granted
+        self._turn_cpu_time = 0  # nanoseconds, of the turns since the last pause
+        self._turn_not_before = time.monotonic_ns()
         # Start of the wait for an array that is overdue and incomplete, in monotonic nanoseconds: if the next
         # read does not complete the array, the connection is ended. 0: none is overdue.
         self._overdue_since = 0
@@ -151,32 +160,65 @@
 
         An ending connection is still read: a close with bytes unread would reset it and lose answers.
         """
-        limits = self._resource_limits
         while True:
-            started_at = time.thread_time_ns()
-            try:
-                if await self.read_buffer.fill(self.stream):
-                    started_at = time.thread_time_ns()  # other tasks ran meanwhile
-            except MalformedInputError as error:
-                self._reject_stream(error)
-                continue
-            if self.stream.at_eof:
-                self._parse()  # the bytes received before the end
+            read_cpu_time = 0
+            if not self.array_reader.has_more:
+                try:
+                    read_cpu_time = await self._fill()
+                except MalformedInputError as error:
+                    self._reject_stream(error)
+                    continue
+            if self.read_buffer.has_data:
+                await self._wait_for_turn()
+            self._take_turn(read_cpu_time)
+            if self.stream.at_eof and not self.array_reader.has_more:
                 return
-            self._parse()
-            cpu_time = time.thread_time_ns() - started_at
-            if self._overdue_since and self._overdue_since == self.array_reader.wait_started_at:
-                self._finish()  # the same array is still incomplete: it is trickling in
             # Read no more requests from a dispatcher until it has read enough of its answers.
-            while self.unsent_bytes > limits.max_unsent_bytes:
+            while self.unsent_bytes > self._resource_limits.max_unsent_bytes:
                 await self._progress.wait()
-            # A dispatcher that sends without pause must not block the event loop: awaiting a done future
-            # does not yield.
-            await asyncio.sleep(read_pause(cpu_time, limits) / SECOND)
+
+    async def _fill(self) -> int:
+        """Wait for bytes; return the CPU time of their read in nanoseconds, 0 if it had to wait for them.
+
+        Raises MalformedInputError if a full buffer holds no complete array.
+        """
+        started_at = time.thread_time_ns()
+        if await self.read_buffer.fill(self.stream):
+            return 0  # other tasks ran meanwhile
+        return time.thread_time_ns() - started_at
+
+    async def _wait_for_turn(self) -> None:
+        """Wait for a turn to handle received bytes; raises StreamClosedError if the stream is closed."""
+        if granted := self._turns.request(self._turn_not_before):
+            self._granted_turn = granted
+            await granted
+        if self.stream.closed():
+            raise StreamClosedError  # what its dispatcher has sent is no longer of use
+
+    def _take_turn(self, read_cpu_time: int) -> None:
+        """Handle the received arrays, up to the limit of a turn, and set the time of the next turn."""
+        started_at = time.thread_time_ns()
+        self._parse()
+        if self._overdue_since and self._overdue_since == self.array_reader.wait_started_at:
+            self._finish()  # the same array is still incomplete: it is trickling in
+        self._turn_cpu_time += read_cpu_time + time.thread_time_ns() - started_at
+        self._turn_not_before = time.monotonic_ns()
+        if not self.array_reader.has_more:
+            self._turn_not_before += read_pause(
+                self._turn_cpu_time, self._is_discarding, self._resource_limits
+            )
+            self._turn_cpu_time = 0
+
+    @property
+    def _is_discarding(self) -> bool:
+        """Whether received bytes are dropped."""
+        return self.state in (ConnectionState.ENDING, ConnectionState.LINGERING)
 
     def _parse(self) -> None:
-        if self.state in (ConnectionState.ENDING, ConnectionState.LINGERING):
+        if self._is_discarding:
+            # In large steps, so that the end of the input is reached soon.
             self.read_buffer.clear()
+            discard_received(self.stream.socket)
             return
         try:
             any_handled = self.array_reader.handle_received()
@@ -294,6 +336,8 @@
             self.stream.close()
         self._lifecycle.cancel_timer()
         self._progress.set()
+        if self._granted_turn and not self._granted_turn.done():
+            self._granted_turn.set_result(None)  # the end of the connection needs no turn
 
     def check_timeouts(self, now: int) -> None:
         """Close the connection if the dispatcher does not read, and end it if an array stays incomplete.
@@ -304,7 +348,7 @@
         limits = self._resource_limits
         if is_write_overdue(now, self._writer.write_started_at, limits):
             self.close()
-        elif self.open_requests or self.unsent_bytes:
+        elif self.open_requests or self.unsent_bytes or self.array_reader.has_more:
             return
         elif overdue := array_overdue_by(now, self.array_reader.wait_started_at, limits):
             if not has_incoming(self.stream):
--- a/oakkeel/dispatch/listener.py
+++ b/oakkeel/dispatch/listener.py
@@ -11,6 +11,8 @@
 from oakkeel.dispatch.command_handler import ConnectionOwner
 from oakkeel.dispatch.connection import Connection
 from oakkeel.dispatch.eviction import eviction_candidate, oldest_without_answers
+from oakkeel.dispatch.poller import ConnectionPoller
+from oakkeel.dispatch.read_turns import ReadTurns
 from oakkeel.log import EventLog, describe_error
 from oakkeel.resource_limits import BUFFERS_PER_STREAM, ResourceLimits
 from oakkeel.stream_buffers import BufferPool, HalfClosingStream
@@ -53,7 +55,10 @@
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.connection_closed = asyncio.Event()  # set when a connection is removed
         self.is_accepting = False
+        self.accepted_count = 0  # connections since the start
         self.resume_timer: asyncio.TimerHandle | None = None  # resumes accepting after a pause
+        self.turns = ReadTurns(resource_limits.turns_per_pass)
+        self.poller = ConnectionPoller(resource_limits.socket_events_per_pass)
         self.socket = _bind(address)
         self.address: tuple[str, int] = self.socket.getsockname()
 
@@ -63,6 +68,7 @@
         asyncio.get_running_loop().add_reader(self.socket, self._accept_batch)
         self.is_accepting = True
         if self.sweep_timer is None:
+            self.poller.open()
             self._sweep()
 
     async def close(self) -> None:
@@ -71,16 +77,21 @@
         A waiting connection may carry a request that the kernel has received and that must be answered. So
         all waiting connections are accepted, a few at a time, and the socket is closed right after the last:
         a connection that arrives in between is reset. The number is limited to the kernel's accept queue, as
-        a flood of connections would keep the listener open forever.
+        a flood of connections would keep the listener open forever, and `stop_accepting` ends it earlier.
         """
-        for _ in range(MAX_WAITING_CONNECTIONS // self.resource_limits.accepts_per_pass + 1):
-            if self.is_accepting and not self.resume_timer and not self._accept_batch():
+        accepted_before = self.accepted_count
+        while self.is_accepting and self.accepted_count - accepted_before < MAX_WAITING_CONNECTIONS:
+            if not self.resume_timer and not self._accept_batch():
                 break
             # Evicted connections end in the next pass and free descriptors and buffers for later connections.
             await asyncio.sleep(self.resource_limits.accept_retry_delay / SECOND if self.resume_timer else 0)
-        if self.is_accepting:
+        self.stop_accepting()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket now; connections that wait to be accepted are reset."""
+        if self.is_accepting and not self.resume_timer:
             asyncio.get_running_loop().remove_reader(self.socket)
-            self.is_accepting = False
+        self.is_accepting = False
         if self.resume_timer:
             self.resume_timer.cancel()
             self.resume_timer = None
@@ -96,10 +107,16 @@
         """Accept a few connections; return whether more may wait.
 
         In a flood, the other connections wait for the next pass of the event loop, after the reads of the
-        open connections.
+        open connections. While more of those have something to read than one pass handles, few are accepted:
+        otherwise connections that have ended would fill the table.
         """
         reserved_for_links = BUFFERS_PER_STREAM * self.resource_limits.max_links
-        for _ in range(self.resource_limits.accepts_per_pass):
+        accept_until = time.thread_time_ns() + self.resource_limits.accept_time_per_pass
+        limits = self.resource_limits
+        is_saturated = self.poller.is_saturated or self.turns.waiting_count >= limits.turns_per_pass
+        for _ in range(limits.accepts_when_saturated if is_saturated else limits.accepts_per_pass):
+            if time.thread_time_ns() > accept_until:
+                return True
             if self.pool.available <= reserved_for_links:
                 self._pause()
                 return True
@@ -132,6 +149,7 @@
         asyncio.get_running_loop().add_reader(self.socket, self._accept_batch)
 
     def _accept(self, accepted: socket.socket) -> None:
+        self.accepted_count += 1
         accepted.setblocking(False)
         has_room = len(self.connections) < self.resource_limits.max_connections or self._evict_one(
             CONNECTION_LIMIT
@@ -143,7 +161,10 @@
             max_buffer_size=self.resource_limits.buffer_size,
             read_chunk_size=self.resource_limits.buffer_size,
         )
-        connection = Connection(stream, self.pool, self.resource_limits, self.owner, self.log, self)
+        stream.io_loop = self.poller  # type: ignore[assignment]  # it has all methods that a stream calls
+        connection = Connection(
+            stream, self.pool, self.resource_limits, self.owner, self.log, self, self.turns
+        )
         if has_room:
             self.connections.add(connection)
             self.without_requests[connection] = time.monotonic_ns()
@@ -229,6 +250,7 @@
         if self.sweep_timer:
             self.sweep_timer.cancel()
             self.sweep_timer = None
+        self.poller.close()
 
     # Idle connections.
 
--- /dev/null
+++ b/oakkeel/dispatch/read_turns.py
@@ -0,0 +1,75 @@
+"""Turns of connections at the event loop: all connections together take a bounded part of each pass."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import time
+from itertools import count
+
+from oakkeel.units import SECOND
+
+
+class ReadTurns:
+    """Grants turns, a bounded number in one pass of the event loop; the least active connection goes first.
+
+    A connection asks for a turn with the time from which it may have one, which is later the more its last
+    turn has cost. Where more ask than a pass allows, those with the earliest time go first: a connection that
+    sends little is served before those that always have more to say, however many they are.
+    """
+
+    def __init__(self, turns_per_pass: int) -> None:
+        """Allow `turns_per_pass` turns in one pass of the event loop."""
+        self._turns_per_pass = turns_per_pass
+        self._turns_in_pass = 0
+        # The time from which each waiting connection may have its turn, a number that is never equal, and the
+        # future that grants the turn.
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._numbers = count()
+        self._is_pass_scheduled = False
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of connections that may have a turn and wait for it."""
+        return len(self._waiting)
+
+    def request(self, not_before: int) -> asyncio.Future[None] | None:
+        """Ask for a turn; return None if it is granted now, else a future that ends when it is granted.
+
+        `not_before` is in nanoseconds of the monotonic clock. A caller that needs its turn no longer sets the
+        result of the future itself.
+        """
+        delay = not_before - time.monotonic_ns()
+        if delay <= 0 and not self._waiting and self._turns_in_pass < self._turns_per_pass:
+            self._turns_in_pass += 1
+            self._schedule_pass()
+            return None
+        loop = asyncio.get_running_loop()
+        granted: asyncio.Future[None] = loop.create_future()
+        if delay > 0:
+            loop.call_later(delay / SECOND, self._enqueue, not_before, granted)
+        else:
+            self._enqueue(not_before, granted)
+        return granted
+
+    def _enqueue(self, not_before: int, granted: asyncio.Future[None]) -> None:
+        if not granted.done():
+            heapq.heappush(self._waiting, (not_before, next(self._numbers), granted))
+            self._schedule_pass()
+
+    def _schedule_pass(self) -> None:
+        """Count the turns of the next pass of the event loop from zero."""
+        if not self._is_pass_scheduled:
+            self._is_pass_scheduled = True
+            asyncio.get_running_loop().call_soon(self._start_pass)
+
+    def _start_pass(self) -> None:
+        self._is_pass_scheduled = False
+        self._turns_in_pass = 0
+        while self._waiting and self._turns_in_pass < self._turns_per_pass:
+            _, _, granted = heapq.heappop(self._waiting)
+            if not granted.done():
+                granted.set_result(None)
+                self._turns_in_pass += 1
+        if self._turns_in_pass:
+            self._schedule_pass()
--- a/oakkeel/dispatch/socket_state.py
+++ b/oakkeel/dispatch/socket_state.py
@@ -9,7 +9,7 @@
 from oakkeel.stream_buffers import HalfClosingStream, is_readable
 
 MAX_DISCARD_READS = 16  # a peer that keeps sending must not block the event loop
-DISCARD_READ_BYTES = 4096
+DISCARD_READ_BYTES = 64 * 1024
 
 
 def has_hung_up(connected: socket.socket) -> bool:
--- a/oakkeel/dispatch/timeouts.py
+++ b/oakkeel/dispatch/timeouts.py
@@ -22,10 +22,12 @@
     return max(0, now - wait_started_at - limits.array_timeout) if wait_started_at else 0
 
 
-def read_pause(cpu_time: int, limits: ResourceLimits) -> int:
-    """Return the nanoseconds to the next read of a connection.
+def read_pause(cpu_time: int, is_discarding: bool, limits: ResourceLimits) -> int:
+    """Return the nanoseconds to the next turn of a connection.
 
     The pause bounds the share of the event loop that one connection gets; `cpu_time` is the CPU time in
-    nanoseconds that its last read and its parsing took.
+    nanoseconds that its last read and its parsing took. `is_discarding` is true for a connection whose input
+    is dropped: nothing waits for its next read but its own close.
     """
-    return cpu_time * limits.read_cpu_factor
+    pause = cpu_time * limits.read_cpu_factor
+    return max(pause, limits.discard_pause) if is_discarding else pause
--- a/oakkeel/node/drain.py
+++ b/oakkeel/node/drain.py
@@ -153,8 +153,14 @@
         self.deadline_timer = asyncio.get_running_loop().call_later(delay, self._close_remaining_connections)
 
     def _close_remaining_connections(self) -> None:
-        self.node.log.warning("drain_deadline_reached")
-        self.node.listener.close_connections()
+        listener = self.node.listener
+        self.node.log.warning(
+            "drain_deadline_reached",
+            connections=len(listener.connections) + len(listener.evicted),
+            open_requests=sum(len(connection.open_requests) for connection in listener.connections),
+        )
+        listener.stop_accepting()
+        listener.close_connections()
 
     def _notify_admission(self, time_left: int | None) -> None:
         try:
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import TypeVarTuple
+from typing import Protocol, TypeVarTuple
 
 from oakkeel.admission import AdmissionController
 from oakkeel.admission.types import Gauges
@@ -16,9 +16,7 @@
 from oakkeel.request_events import (
     AwaitSharedResponse,
     CancelRun,
-    FailRequest,
     IssueCall,
-    RejectRequest,
     SkipCall,
     StartRun,
 )
@@ -27,6 +25,16 @@
 Arguments = TypeVarTuple("Arguments")
 
 
+class EarlyAnswers(Protocol):
+    """Answers requests at once, before their handlers run again: a flood must not delay a due answer."""
+
+    def reject(self, request: NodeRequest, is_final: bool, retry_after: int) -> None:
+        """Answer that the request is not admitted; `retry_after` is in nanoseconds."""
+
+    def fail(self, request: NodeRequest) -> None:
+        """Answer that the request failed."""
+
+
 class NodeHost:
     """Carries out the verdicts of `AdmissionController`, and provides time, timers and gauges to it."""
 
@@ -46,6 +54,7 @@
         self.load_report_value: float | None = None  # `NodeLimits.load_report` defines its meaning
         self.is_schedule_pending = False
         self.timer_tasks: set[asyncio.Task[None]] = set()
+        self.early_answers: EarlyAnswers  # set by the request handler
         self.admission: AdmissionController  # set by `start_admission`
         self.is_started = False
 
@@ -92,11 +101,11 @@
 
         With `is_final`, no other node should be tried. `retry_after` is in nanoseconds; 0 for none.
         """
-        request.post(RejectRequest(is_final, retry_after))
+        self.early_answers.reject(request, is_final, retry_after)
 
     def fail(self, request: NodeRequest) -> None:
         """Answer that the request failed."""
-        request.post(FailRequest())
+        self.early_answers.fail(request)
 
     def cancel(self, request: NodeRequest) -> None:
         """Stop the run of the request."""
@@ -129,7 +138,15 @@
         self.loop.call_at(due_at / SECOND, self._on_timer_due, token, due_at)
 
     def _on_timer_due(self, token: int, due_at: int) -> None:
+        """Answer the requests whose deadline has passed, then act on the others with fresh gauges.
+
+        No wait stands between a deadline and its answer.
+        """
         self.metrics.count_timer(time.monotonic_ns() - due_at)
+        try:
+            self.notify(self.admission.end_overdue, token)
+        except Exception as error:  # a defect must not stop the other timers
+            self.log.error("timer_failed", error=describe_error(error))
         task = self.loop.create_task(self._read_gauges_and_notify(token))
         self.timer_tasks.add(task)
         task.add_done_callback(self.timer_tasks.discard)
--- a/oakkeel/node/request_handler.py
+++ b/oakkeel/node/request_handler.py
@@ -19,10 +19,8 @@
     CallReplyUncertain,
     CancelRun,
     ClientDisconnected,
-    FailRequest,
     IdentityChecked,
     IssueCall,
-    RejectRequest,
     RequestEvent,
     RequestReleased,
     RunFinished,
@@ -53,6 +51,32 @@
         self.response_cache = components.response_cache
         self.metrics = components.metrics
         self.log = components.log
+        host.early_answers = self
+
+    # The `EarlyAnswers` of the host.
+
+    def reject(self, request: NodeRequest, is_final: bool, retry_after: int) -> None:
+        """Answer that the request is not admitted; `retry_after` is in nanoseconds."""
+        self._answer_early(request, codec.REJECTED, is_final, retry_after)
+
+    def fail(self, request: NodeRequest) -> None:
+        """Answer that the request failed."""
+        self._answer_early(request, codec.FAILED)
+
+    def _answer_early(
+        self, request: NodeRequest, status: bytes, is_final: bool = False, retry_after: int = 0
+    ) -> None:
+        """Answer a request on a verdict of the admission controller, and abandon its downstream call."""
+        try:
+            self._answer(request, status, final=is_final, retry_after=retry_after)
+            self.catalogue.abandon_call(request)  # no client waits for the reply of the downstream call
+        except Exception as error:  # a defect must not keep the other requests of a timer from their answers
+            self.log.error(
+                "request_failed",
+                request_id=request.request_id.decode(),
+                state=request.state.name,
+                error=describe_error(error),
+            )
 
     async def handle(self, request: NodeRequest) -> None:
         """Pass one request to admission, run it, make its calls and answer it once."""
@@ -83,7 +107,7 @@
                 self._answer(request, codec.FAILED)
                 return False
             case KeyCheck.CACHE_FULL:
-                self._reject(request)
+                self._reject_unadmitted(request)
                 return False
         is_read = not request.request_class.at_most_once
         if request.is_duplicate and is_read and not self.engine.can_check_identity(request):
@@ -151,18 +175,14 @@
     async def _next_event(self, request: NodeRequest) -> RequestEvent | RequestReleased:
         """Wait for the next event that the caller must handle.
 
-        Early answers, cancelled runs, uncertain replies and disconnected clients are handled here. Returns
+        Cancelled runs, uncertain replies and disconnected clients are handled here. Returns
         `RELEASED` if the request has finished and the engine no longer runs it.
         """
         while True:
             if request.state is RequestState.FINISHED and not request.in_engine and not request.events:
                 return RELEASED
             event = await request.next_event()
-            if isinstance(event, RejectRequest):
-                self._answer(request, codec.REJECTED, final=event.final, retry_after=event.retry_after)
-            elif isinstance(event, FailRequest):
-                self._answer(request, codec.FAILED)
-            elif isinstance(event, CancelRun):
+            if isinstance(event, CancelRun):
                 self.engine.cancel_run(request)
             elif isinstance(event, ClientDisconnected):
                 self.host.notify(self.host.admission.client_disconnected, request)
@@ -193,11 +213,13 @@
         if outcome is Outcome.COMPLETED:
             self._answer(request, codec.COMPLETED, result)
         elif outcome is Outcome.REJECTED:
-            self._reject(request)  # the original request never ran, so this duplicate did not run either
+            self._reject_unadmitted(
+                request
+            )  # the original request never ran, so this duplicate did not run either
         else:
             self._answer(request, codec.FAILED)
 
-    def _reject(self, request: NodeRequest) -> None:
+    def _reject_unadmitted(self, request: NodeRequest) -> None:
         self._answer(request, codec.REJECTED, retry_after=self.host.admission.retry_after())
 
     def _answer(
--- a/oakkeel/request_events.py
+++ b/oakkeel/request_events.py
@@ -14,19 +14,6 @@
     """The request is admitted: pass it to the engine."""
 
 
-@dataclass(slots=True)
-class RejectRequest:
-    """Answer that the request is not admitted."""
-
-    final: bool  # no other node should be tried
-    retry_after: int  # nanoseconds; 0 for no advice
-
-
-@dataclass(slots=True)
-class FailRequest:
-    """Answer that the request failed."""
-
-
 @dataclass(slots=True)
 class CancelRun:
     """Stop the run in the engine."""
@@ -110,7 +97,7 @@
     """Nothing is left to wait for: the request is over and not in the engine."""
 
 
-Verdict = StartRun | RejectRequest | FailRequest | CancelRun | IssueCall | SkipCall | AwaitSharedResponse
+Verdict = StartRun | CancelRun | IssueCall | SkipCall | AwaitSharedResponse
 ExternalEvent = (
     ClientDisconnected
     | CallNeeded
--- a/oakkeel/resource_limits.py
+++ b/oakkeel/resource_limits.py
@@ -36,7 +36,15 @@
     max_violations: int = 8  # requests on one connection that are malformed or that the engine does not know
     unsent_memory_share: float = 0.2  # of the memory, for unsent answers
     read_cpu_factor: int = 20  # pause before the next read, in multiples of the CPU time of read and parsing
-    accepts_per_pass: int = 16  # connections in one pass of the event loop
+    discard_pause: int = 50 * MS  # minimum pause between reads of a connection whose input is dropped
+    # In one pass of the event loop, for all connections together: a longer pass would delay timers, answers
+    # and the engine's notices.
+    socket_events_per_pass: int = 16
+    turns_per_pass: int = 4  # each handles the input of one connection
+    arrays_per_turn: int = 8
+    accepts_per_pass: int = 16
+    accepts_when_saturated: int = 2  # while open connections have more to read than one pass handles
+    accept_time_per_pass: int = 2 * MS  # CPU time
     new_connection_grace: int = 50 * MS  # from the accept; received bytes may not be read yet
     sweep_interval: int = 250 * MS  # between the checks of timeouts
     array_timeout: int = 2 * SECOND  # from the accept to the first array, from an array's start to its end
