Run nothing of a client that has left, and no ID a second time

Cause: the kernel hands out received bytes also after the end of the connection, and nobody asked for that end; an ID was known only while its request was open.

Change: before each turn a connection asks the kernel for the state of the other side; an end of the input is first answered with `0 last`, which shows whether it still reads. IDs that may have run and run at most once are kept.

--- a/oakkeel/dispatch/command_handler.py
+++ b/oakkeel/dispatch/command_handler.py
@@ -27,7 +27,7 @@
         """Note that the client no longer waits for the answer."""
 
     def has_request(self, request_id: bytes) -> bool:
-        """Return whether a request with this ID is open or still has a run."""
+        """Return whether a request with this ID is open or has a run, or has run and must not run again."""
 
     def repeats_known_request(self, request: NodeRequest) -> bool:
         """Return whether a request repeats one that may have run, by its idempotency key."""
@@ -138,8 +138,8 @@
             return
         try:
             request = owner.reader.read(tag, tokens, self._channel)
-            if owner.has_request(request.request_id):  # a reused ID must not affect the open request
-                raise codec.MalformedRequestError("req is the ID of an open request", request.request_id)
+            if owner.has_request(request.request_id):  # a reused ID must not affect the earlier request
+                raise codec.MalformedRequestError("req is the ID of another request", request.request_id)
         except codec.MalformedRequestError as error:
             self._reject_malformed(tag, str(error), error.request_id)
             return
--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -21,7 +21,7 @@
 from oakkeel.dispatch.connection_state import ConnectionLifecycle, ConnectionState
 from oakkeel.dispatch.progress import Progress
 from oakkeel.dispatch.read_turns import ReadTurns
-from oakkeel.dispatch.socket_state import discard_received, has_hung_up, has_incoming
+from oakkeel.dispatch.socket_state import PeerState, discard_received, has_hung_up, has_incoming, peer_state
 from oakkeel.dispatch.timeouts import array_overdue_by, is_write_overdue, read_pause
 from oakkeel.log import EventLog
 from oakkeel.request import NodeRequest
@@ -45,6 +45,7 @@
     __slots__ = (
         "_commands",
         "_granted_turn",
+        "_has_probed_end",
         "_lifecycle",
         "_log",
         "_observer",
@@ -85,6 +86,7 @@
         self._progress = Progress(stream)
         self._turns = turns
         self._granted_turn: asyncio.Future[None] | None = None  # ends when the last turn asked for is granted
+        self._has_probed_end = False  # `0 last` was written after the dispatcher had ended its side
         self._turn_cpu_time = 0  # nanoseconds, of the turns since the last pause
         self._turn_not_before = time.monotonic_ns()
         # Start of the wait for an array that is overdue and incomplete, in monotonic nanoseconds: if the next
@@ -137,7 +139,7 @@
             await self._read()
             # A dispatcher that no longer reads resets the connection at this write.
             self._finish()
-            if self.open_requests:
+            if self.open_requests and not self._has_probed_end:
                 self._writer.write(codec.DRAIN_NOTICE)
             while self.open_requests or self.unsent_bytes:
                 await self._progress.wait(self._resource_limits.half_closed_poll)
@@ -192,8 +194,22 @@
         if granted := self._turns.request(self._turn_not_before):
             self._granted_turn = granted
             await granted
-        if self.stream.closed():
-            raise StreamClosedError  # what its dispatcher has sent is no longer of use
+        if self.stream.closed() or self._has_dispatcher_left():
+            raise StreamClosedError  # what its dispatcher has sent must not run: nobody reads the answers
+
+    def _has_dispatcher_left(self) -> bool:
+        """Return whether the dispatcher has closed the connection, though what it has sent is unread.
+
+        One that has closed both directions looks like one that has only ended its side, until something is
+        written to it.
+        """
+        state = peer_state(self.stream.socket)
+        if state is PeerState.HALF_CLOSED and not self._is_discarding and not self._has_probed_end:
+            self._has_probed_end = True
+            self._writer.write(codec.DRAIN_NOTICE)
+            self._writer.flush()
+            state = PeerState.GONE if self.stream.closed() else peer_state(self.stream.socket)
+        return state is PeerState.GONE and not self._is_discarding
 
     def _take_turn(self, read_cpu_time: int) -> None:
         """Handle the received arrays, up to the limit of a turn, and set the time of the next turn."""
--- a/oakkeel/node/node.py
+++ b/oakkeel/node/node.py
@@ -21,6 +21,7 @@
 from oakkeel.node.drain import Drain
 from oakkeel.node.host import NodeHost
 from oakkeel.node.metrics import Metrics
+from oakkeel.node.recent_requests import RecentRequestIds
 from oakkeel.node.request_handler import RequestHandler
 from oakkeel.node.response_cache import ResponseCache
 from oakkeel.node_limits import LimitsError
@@ -60,6 +61,7 @@
         self.pool = BufferPool(resource_limits.buffer_size, resource_limits.max_buffers)
         self.reader: RequestReader | None = None
         self.open_requests: dict[bytes, asyncio.Task[None]] = {}  # handlers by request ID
+        self.recent_request_ids = RecentRequestIds(resource_limits.max_recent_request_ids)
         self.pending_engine: PendingEngine | None = None
         self.drained = asyncio.Event()  # set at the end of the drain
         self.listener = Listener(configuration.listen, self.pool, resource_limits, self, self.log)
@@ -189,11 +191,15 @@
         self.metrics.requests_read += 1
         task = asyncio.ensure_future(self.handler.handle(request))
         self.open_requests[request.request_id] = task
-        task.add_done_callback(lambda _: self.open_requests.pop(request.request_id))
+        task.add_done_callback(lambda _: self._on_request_ended(request))
+
+    def _on_request_ended(self, request: NodeRequest) -> None:
+        del self.open_requests[request.request_id]
+        self.recent_request_ids.add(request)
 
     def has_request(self, request_id: bytes) -> bool:
-        """Return whether a request with this ID or its run is open."""
-        return request_id in self.open_requests
+        """Return whether a request with this ID or its run is open, or has run and must not run again."""
+        return request_id in self.open_requests or request_id in self.recent_request_ids
 
     def repeats_known_request(self, request: NodeRequest) -> bool:
         """Return whether a request repeats one that may have run, by its idempotency key."""
--- a/oakkeel/resource_limits.py
+++ b/oakkeel/resource_limits.py
@@ -29,6 +29,8 @@
     # Dispatchers.
     reserved_sockets: int = 32  # descriptors that are for neither calls nor dispatchers
     max_open_requests: int = 32  # on one connection
+    # Of requests that have run and must not run again: those of some 20 s at the highest load.
+    max_recent_request_ids: int = 4096
     max_body_size: int = 2048
     max_memory_kb: float = 2000.0  # declared by one request
     max_clock_skew: int = 60 * SECOND  # between the timestamp of a request and the clock
