Flood a node in the soak and by make measure-flood, and hold it to its memory limit

Change: ten kinds of floods (fakes/flood.py) in processes of their own, drawn by the soak apart from the rest of a plan, also through the drain; the soak's audit has a memory rule. `make measure-flood` plays each kind alone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: build all test lint format run demo clean measure-fleet measure-orders measure-decisions measure-listing \
 	measure-node measure-fair measure-emulator measure-agreement measure-drain measure-schedules \
-	measure-places measure-rollout measure-gates measure-plan measure-soak
+	measure-places measure-rollout measure-gates measure-plan measure-soak measure-flood
 
 # What a node needs, and no more: the platform calls this.
 build: .venv/built
@@ -49,7 +49,7 @@
 
 # Measurements: each prints one last line with its result. JSON=FILE keeps the figures.
 measure-fleet measure-orders measure-decisions measure-listing measure-fair measure-emulator measure-agreement \
-measure-drain measure-schedules measure-places measure-rollout measure-gates measure-plan: all
+measure-drain measure-schedules measure-places measure-rollout measure-gates measure-plan measure-flood: all
 	.venv/bin/python -m measure.$(@:measure-%=%) $(if $(JSON),--json $(JSON)) $(MORE)
 
 # A node with drawn peers and disruptions: SEED=n, FOR=seconds in all, RUN=seconds for each seed, WITHOUT=kind,kind.
--- a/oakkeel/invariants/node_soak.py
+++ b/oakkeel/invariants/node_soak.py
@@ -193,6 +193,9 @@
             case record.NodeExited() if event.code != 0:
                 reason = "did not end in time" if event.code is None else f"ended with {event.code}"
                 yield Breach("drain", "", f"the node {reason}")
+            case record.NodeMeasured() if event.resident_mb > self.plan.memory_mb:
+                limit = f"a limit of {self.plan.memory_mb} MB"
+                yield Breach("memory", "", f"the node had {event.resident_mb:.1f} MB resident, with {limit}")
             case record.NodeLogged():
                 yield Breach("defect", "", event.line[:200])
 
--- a/oakkeel/soak/node_run.py
+++ b/oakkeel/soak/node_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import shlex
@@ -22,7 +23,16 @@
 from oakkeel.soak.dispatchers import SoakDispatcher
 from oakkeel.soak.engine import SoakEngine
 from oakkeel.soak.plan import MAX_LOSS_S, MAX_PAUSE_S, Disruption, DisruptionKind, Plan
-from oakkeel.soak.record import Disrupted, Event, NodeExited, NodeLogged, NodePaused, NodeSignalled, Record
+from oakkeel.soak.record import (
+    Disrupted,
+    Event,
+    NodeExited,
+    NodeLogged,
+    NodeMeasured,
+    NodePaused,
+    NodeSignalled,
+    Record,
+)
 from oakkeel.soak.world import World
 
 NODE_COMMAND = f"exec {shlex.quote(sys.executable)} -m oakkeel"
@@ -36,10 +46,20 @@
 BREAK_EVERY_S = (0.08, 0.3)
 PIECES_RATIO = 0.7  # of the breaks, after which notices come in pieces
 MAX_FLOOD = 60  # silent connections
+MAX_CLIENTS_PER_PROCESS = 100  # of a flood
 FAULT_RATIO = 0.3  # of the replies to calls, during catalogue faults
 DEFECT_WORDS = ("Traceback", " error ")
 
 
+def peak_resident_mb(pid: int) -> float:
+    """Return the most memory that a process has had resident, in MB; 0 if it has ended."""
+    with contextlib.suppress(OSError), open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
 class NodeNotReadyError(Exception):
     """The node did not become ready; the message is its log."""
 
@@ -78,7 +98,9 @@
             DisruptionKind.SILENT_FLOOD: self._flood_silently,
             DisruptionKind.RELOAD: self._reload,
             DisruptionKind.PAUSE: self._pause,
+            DisruptionKind.FLOOD: self._flood,
         }
+        self.floods: list[asyncio.subprocess.Process] = []
         self.process: asyncio.subprocess.Process
 
     async def play(self) -> list[Event]:
@@ -94,9 +116,10 @@
             await self._wait_until_ready()
             await self._play_load()
         finally:
-            if self.process.returncode is None:
-                self.process.kill()
-                await self.process.wait()
+            for process in (self.process, *self.floods):
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
             await self._close_peers()
         return self.world.record.events
 
@@ -111,7 +134,7 @@
             "lookup": f"127.0.0.1:{directory}",
             "seed": f"{self.plan.seed:016x}",
             "stop_ms": int(self.plan.stop_s * 1000),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": 512},
             "settings": self.plan.settings(),
         }
         written = self.config_path.with_suffix(".new")
@@ -154,6 +177,7 @@
 
         The node closes its last connections just before the stop, and may end a moment later.
         """
+        self.world.log(NodeMeasured(time.time(), peak_resident_mb(self.process.pid)))
         self._signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(self.plan.stop_s + EXIT_SLACK_S):
@@ -170,7 +194,10 @@
 
     async def _disrupt(self, started_at: float, disruption: Disruption) -> None:
         await asyncio.sleep(max(0.0, started_at + disruption.start_s - time.monotonic()))
-        self.world.log(Disrupted(time.time(), disruption.kind.value, disruption.length_s, disruption.size))
+        detail = f"{disruption.flood.clients} {disruption.flood.kind.value}" if disruption.flood else ""
+        self.world.log(
+            Disrupted(time.time(), disruption.kind.value, disruption.length_s, disruption.size, detail)
+        )
         await self._actions[disruption.kind](disruption)
 
     async def _break_engine_link(self, disruption: Disruption) -> None:
@@ -224,6 +251,24 @@
     async def _flood_silently(self, disruption: Disruption) -> None:
         self.bad_clients.flood_silently(int(disruption.size * MAX_FLOOD))
 
+    async def _flood(self, disruption: Disruption) -> None:
+        """Start the processes of a flood, which end by themselves."""
+        if flood := disruption.flood:
+            process_count = -(-flood.clients // MAX_CLIENTS_PER_PROCESS)
+            for _ in range(process_count):
+                self.floods.append(
+                    await asyncio.create_subprocess_exec(
+                        sys.executable,
+                        "-m",
+                        "oakkeel.fakes.flood",
+                        str(self.port),
+                        str(flood.clients // process_count),
+                        str(disruption.length_s),
+                        flood.kind.value,
+                        self.world.plan.groups[int(disruption.size * len(self.world.plan.groups))].name,
+                    )
+                )
+
     async def _reload(self, disruption: Disruption) -> None:
         earlier = []
         for _ in range(1 + int(disruption.size * MAX_RELOADS)):
--- a/oakkeel/soak/plan.py
+++ b/oakkeel/soak/plan.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from oakkeel.fakes.flood import FloodKind
 from oakkeel.units import MS, SECOND
 
 REQUESTS_PER_S = (25.0, 60.0)
@@ -26,6 +27,13 @@
 LONG_RUN_TIMEOUT_RATIO = (0.3, 0.9)
 
 
+MEMORY_MB = 64  # limit of the node: "32 to 192 MB by language and day"
+FLOOD_CLIENTS = (20, 300)
+FLOOD_LENGTH_S = (1.0, 5.0)
+FLOODED_DRAIN_RATIO = 0.5  # of the runs, whose drain is flooded
+FLOOD_BEFORE_DRAIN_S = 1.0  # from the start of such a flood to the drain
+FLOOD_SEED = 4096  # added to the seed: floods are drawn apart, and leave all else of a plan as it is
+
 # Kinds that need more occasions than others to meet the requests that they could harm.
 FREQUENT_RATIO = 0.5
 
@@ -54,9 +62,18 @@
     SILENT_FLOOD = "silent-flood"
     RELOAD = "reload"  # new addresses of engine and catalogue with SIGHUP, up to three within 0.2 s
     PAUSE = "pause"  # SIGSTOP and SIGCONT
+    FLOOD = "flood"  # up to 300 clients that send at full speed, or that hold their connections
 
 
-FREQUENT_KINDS = (DisruptionKind.ENGINE_BREAK, DisruptionKind.SLOW_WRITE, DisruptionKind.UNKNOWN_IDS)
+# Floods are drawn apart: they last for seconds and take most of a node's time.
+INTERLEAVED_KINDS: tuple[DisruptionKind, ...] = tuple(
+    kind for kind in DisruptionKind if kind is not DisruptionKind.FLOOD
+)
+FREQUENT_KINDS: tuple[DisruptionKind, ...] = (
+    DisruptionKind.ENGINE_BREAK,
+    DisruptionKind.SLOW_WRITE,
+    DisruptionKind.UNKNOWN_IDS,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +103,14 @@
     calls: int
 
 
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """What the clients of a flood send, and their number."""
+
+    kind: FloodKind
+    clients: int
+
+
 @dataclass(frozen=True, slots=True)
 class Disruption:
     """A disruption; times are seconds, `start_s` from the start of the load."""
@@ -94,6 +119,7 @@
     length_s: float
     kind: DisruptionKind
     size: float  # 0 to 1; the kind defines its meaning
+    flood: Flood | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +134,7 @@
     grace_s: float
     stop_s: float
     dispatchers: int
+    memory_mb: int
     requests: tuple[PlannedRequest, ...]
     disruptions: tuple[Disruption, ...]
 
@@ -169,6 +196,9 @@
     can_stop_runs = random.random() < 0.75
     fresh_s = random.choice((0.0, 0.3, 1.0))
     grace_s = random.choice((0.3, 1.0, 2.0))
+    stop_s = grace_s + random.choice((0.5, 1.2))
+    requests = _draw_requests(random, duration_s, groups, dispatchers)
+    disruptions = _draw_disruptions(random, duration_s) + _draw_floods(seed, duration_s, stop_s)
     return Plan(
         seed=seed,
         duration_s=duration_s,
@@ -176,14 +206,11 @@
         can_stop_runs=can_stop_runs,
         fresh_s=fresh_s,
         grace_s=grace_s,
-        stop_s=grace_s + random.choice((0.5, 1.2)),
+        stop_s=stop_s,
         dispatchers=dispatchers,
-        requests=_draw_requests(random, duration_s, groups, dispatchers),
-        disruptions=tuple(
-            disruption
-            for disruption in _draw_disruptions(random, duration_s)
-            if disruption.kind not in without
-        ),
+        memory_mb=MEMORY_MB,
+        requests=requests,
+        disruptions=tuple(disruption for disruption in disruptions if disruption.kind not in without),
     )
 
 
@@ -267,8 +294,26 @@
     start_s = QUIET_START_S
     while (start_s := start_s + random.uniform(*DISRUPTION_EVERY_S)) < duration_s:
         for _ in range(random.choice((1, 1, 2))):
-            kind = random.choice(list(DisruptionKind))
+            kind: DisruptionKind = random.choice(INTERLEAVED_KINDS)
             if random.random() < FREQUENT_RATIO:
                 kind = random.choice(FREQUENT_KINDS)
             disruptions.append(Disruption(start_s, random.uniform(0.1, 2.0), kind, random.random()))
     return disruptions
+
+
+def _draw_floods(seed: int, duration_s: float, stop_s: float) -> list[Disruption]:
+    """Draw a flood under load and, in some runs, one that goes on through the drain."""
+    random = Random(seed + FLOOD_SEED)
+    starts_s = [random.uniform(QUIET_START_S, max(QUIET_START_S, duration_s - stop_s))]
+    if random.random() < FLOODED_DRAIN_RATIO:
+        starts_s.append(max(QUIET_START_S, duration_s - stop_s - FLOOD_BEFORE_DRAIN_S))
+    return [
+        Disruption(
+            start_s,
+            random.uniform(*FLOOD_LENGTH_S),
+            DisruptionKind.FLOOD,
+            random.random(),
+            Flood(random.choice(list(FloodKind)), random.randint(*FLOOD_CLIENTS)),
+        )
+        for start_s in starts_s
+    ]
--- a/oakkeel/soak/record.py
+++ b/oakkeel/soak/record.py
@@ -128,6 +128,13 @@
     line: str
 
 
+class NodeMeasured(msgspec.Struct, tag="memory", frozen=True):
+    """The most memory that the node had resident before it was told to leave."""
+
+    time: float
+    resident_mb: float
+
+
 class Disrupted(msgspec.Struct, tag="disruption", frozen=True):
     """A disruption began."""
 
@@ -135,6 +142,7 @@
     kind: str
     seconds: float
     size: float
+    detail: str = ""
 
 
 Event = (
@@ -153,6 +161,7 @@
     | NodePaused
     | NodeExited
     | NodeLogged
+    | NodeMeasured
     | Disrupted
 )
 _decoder = msgspec.json.Decoder(Event)
