Kill a node no earlier than its own configuration allows it to stop

Cause: the node plans its last answers for its own stop_ms, and the agent killed after `drain`, whatever that says.

Change: the agent reads stop_ms when it starts a process, and of an adopted one from the configuration that it was started with; it kills after the longer of both, and a drain by the control link gives that time too. `oakkeel settings check` rejects a shorter `drain` in one line.

A test with real processes, which restarts the agent in between, three of the supervisor and one of the command line.

--- a/oakkeel/agent/control_requests.py
+++ b/oakkeel/agent/control_requests.py
@@ -8,7 +8,7 @@
 
 from oakkeel.agent.instances import Instance
 from oakkeel.agent.processes import Process, Processes
-from oakkeel.agent.supervision_rules import Action
+from oakkeel.agent.supervision_rules import Action, SupervisionTimeouts
 from oakkeel.control.client import ControlClient, ControlError
 from oakkeel.control.messages import Acknowledgement
 from oakkeel.log import EventLog, LogFields
@@ -28,13 +28,13 @@
         self,
         running_processes: dict[Instance, Process],
         processes: Processes,
-        node_drain_timeout_ns: int,
+        timeouts: SupervisionTimeouts,
         log: EventLog,
     ) -> None:
-        """`running_processes` is shared with the executor; nodes drain within `node_drain_timeout_ns`."""
+        """`running_processes` is shared with the executor."""
         self.running_processes = running_processes
         self.processes = processes
-        self.node_drain_timeout_ns = node_drain_timeout_ns
+        self.timeouts = timeouts
         self.log = log
         self.tasks: dict[Instance, asyncio.Task[None]] = {}  # latest request to each instance
 
@@ -75,7 +75,8 @@
                 acknowledgement = await client.cancel_drain(process.generation, timeout)
                 self._log_cancellation(instance, acknowledgement, fields)
             else:
-                acknowledgement = await client.drain(process.generation, timeout, self.node_drain_timeout_ns)
+                drain_timeout = self.timeouts.node_drain_timeout(instance)
+                acknowledgement = await client.drain(process.generation, timeout, drain_timeout)
                 self.log.info("drain_requested", answer=acknowledgement.reason or None, **fields)
             return acknowledgement.accepted
         except ControlError as error:
--- a/oakkeel/agent/executor.py
+++ b/oakkeel/agent/executor.py
@@ -10,8 +10,9 @@
 from oakkeel.agent.configuration import AgentParts, AgentSettings
 from oakkeel.agent.control_requests import CONTROL_REQUEST_TIMEOUT_NS, DrainRequester
 from oakkeel.agent.instances import Instance
-from oakkeel.agent.launcher import InstanceLauncher
-from oakkeel.agent.processes import Process
+from oakkeel.agent.launcher import CONFIG_VARIABLE, InstanceLauncher
+from oakkeel.agent.node_configuration import read_stop_after
+from oakkeel.agent.processes import Process, read_variable
 from oakkeel.agent.supervision_rules import Action
 from oakkeel.agent.supervisor import Step, Supervisor
 from oakkeel.control.client import ControlClient, ControlError
@@ -48,7 +49,7 @@
         self.processes = parts.processes(host.state_folder, self._handle_process_exit)
         self.launcher = InstanceLauncher(host, self.processes, parts.program, settings.fair_sharing)
         self.drain_requester = DrainRequester(
-            self.running_processes, self.processes, supervisor.timeouts.node_drain_timeout_ns, log
+            self.running_processes, self.processes, supervisor.timeouts, log
         )
         self.pollers: dict[Instance, asyncio.Task[None]] = {}  # tasks that poll the status
         self.unidentified: set[Instance] = set()  # instances whose lock a process of unknown pid holds
@@ -105,7 +106,7 @@
         process = launched.process
         self.log.info("instance_started", pid=process.pid, version=launched.version, **fields)
         instance.running_version = launched.version or ""
-        self.supervisor.record_start(now, instance)
+        self.supervisor.record_start(now, instance, launched.stop_after_ns)
         self._watch(instance, process)
 
     def update_fair_sharing(self, fair_sharing: FairSharingSettings | None) -> None:
@@ -140,7 +141,8 @@
         for instance in list(self.unidentified):
             if process := self.processes.adopt(instance.name):
                 self.unidentified.discard(instance)
-                self.supervisor.record_adoption(now, instance, process.generation)
+                stop_after_ns = read_stop_after(read_variable(process.pid, CONFIG_VARIABLE))
+                self.supervisor.record_adoption(now, instance, process.generation, stop_after_ns)
                 self._watch(instance, process)
                 self.log.info(
                     "instance_adopted", target=instance.name, pid=process.pid, generation=process.generation
--- a/oakkeel/agent/instances.py
+++ b/oakkeel/agent/instances.py
@@ -79,6 +79,7 @@
     report: NodeStatus | None = None  # the last report of its process
     drain_sent_at: int = 0  # time at which its process was last sent the drain; 0: not yet
     kill_after_drain: bool = False  # whether its process is killed when the drain timeout expires
+    stop_after_ns: int = 0  # from SIGTERM until its process may be killed, by its configuration; 0: unknown
     start_not_before: int = 0  # time before which the instance is not started
     consecutive_crashes: int = 0  # reset once the instance has served for `steady_after_ns`
     # Times of crashes, and of restarts of the stuck instance, within the restart window.
--- a/oakkeel/agent/launcher.py
+++ b/oakkeel/agent/launcher.py
@@ -8,9 +8,11 @@
 
 from oakkeel.agent.artifacts import ArtifactStore
 from oakkeel.agent.instances import Instance
+from oakkeel.agent.node_configuration import read_stop_after
 from oakkeel.agent.processes import Process, Processes
 from oakkeel.settings.types import FairSharingSettings, HostSettings, InstanceSettings
 
+CONFIG_VARIABLE = "PROXY_CONFIG"
 VERSION_VARIABLE = "OAKKEEL_VERSION"
 NODE_SETTINGS_VARIABLE = "OAKKEEL_TOLD"
 NODE_SETTINGS_SUFFIX = "told"  # of the file with a node's fair-sharing settings
@@ -23,6 +25,7 @@
 
     process: Process
     version: str | None  # None: the process runs the program and configuration of the settings
+    stop_after_ns: int  # from SIGTERM until it may be killed, by its configuration; 0: unknown
 
 
 class InstanceLauncher:
@@ -52,14 +55,15 @@
             program, version_variables = self.artifacts.launch_command(name, program)
             variables |= version_variables
         process = self.processes.spawn(name, instance.process_generation, program, variables)
-        return LaunchedProcess(process, variables.get(VERSION_VARIABLE))
+        stop_after_ns = read_stop_after(variables[CONFIG_VARIABLE])
+        return LaunchedProcess(process, variables.get(VERSION_VARIABLE), stop_after_ns)
 
     def _environment_variables(self, name: str) -> dict[str, str]:
         """The environment variables of a node, without the variables that a release adds."""
         settings = self.settings[name]
         variables = {
             **os.environ,
-            "PROXY_CONFIG": settings.config_path,
+            CONFIG_VARIABLE: settings.config_path,
             "PROXY_NAME": settings.name,
             "OAKKEEL_CONTROL": self.processes.path(name, "sock"),
             "OAKKEEL_LOG": settings.log_format,
--- a/oakkeel/agent/processes.py
+++ b/oakkeel/agent/processes.py
@@ -182,6 +182,16 @@
         return 0
 
 
+def read_variable(pid: int, name: str) -> str:
+    """The value that an environment variable of a process had at its start; empty if there is none."""
+    try:
+        with open(f"/proc/{pid}/environ", "rb") as file:
+            variables = dict(item.partition(b"=")[::2] for item in file.read().split(b"\0"))
+    except OSError:
+        return ""
+    return os.fsdecode(variables.get(name.encode(), b""))
+
+
 def read_boot_id() -> str:
     """The ID of the current boot of the host."""
     with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
--- a/oakkeel/agent/supervision_rules.py
+++ b/oakkeel/agent/supervision_rules.py
@@ -12,6 +12,7 @@
 from oakkeel.units import MS, SECOND
 
 CANCEL_DRAIN_RETRY_INTERVAL_NS = 200 * MS
+EXIT_MARGIN_NS = 500 * MS  # from the end of a node's own time to stop until SIGKILL
 NODE_DRAIN_PERCENT = 90  # of the drain timeout: the node answers all requests before the agent may kill it
 
 
@@ -23,7 +24,7 @@
     start_timeout_ns: int = 10 * SECOND  # without a first report, until an instance is silent
     stuck_timeout_ns: int = 30 * SECOND  # of silence, until stuck: longer than any client timeout
     restart_stuck: bool = True
-    drain_timeout_ns: int = 10 * SECOND  # between the drain and SIGKILL
+    drain_timeout_ns: int = 10 * SECOND  # between the drain and SIGKILL, unless the node needs longer
     min_backoff_ns: int = 500 * MS  # before the first restart; doubled by each consecutive crash
     max_backoff_ns: int = 30 * SECOND
     steady_after_ns: int = 30 * SECOND  # of service, until earlier crashes no longer count as consecutive
@@ -31,10 +32,17 @@
     restart_window_ns: int = 300 * SECOND
     max_starting: int = 4  # processes of the host that start at the same time
 
-    @property
-    def node_drain_timeout_ns(self) -> int:
-        """The time that a node is given for its drain."""
-        return self.drain_timeout_ns * NODE_DRAIN_PERCENT // 100
+    def node_drain_timeout(self, instance: Instance) -> int:
+        """The nanoseconds that a node is given for its drain by an order, at least those of its SIGTERM."""
+        return max(self.drain_timeout_ns * NODE_DRAIN_PERCENT // 100, instance.stop_after_ns)
+
+    def kill_timeout(self, instance: Instance) -> int:
+        """The nanoseconds from the drain of an instance to SIGKILL.
+
+        A node plans its last answers for the time that its own configuration gives it (`stop_ms`), and needs
+        a moment more to end.
+        """
+        return max(self.drain_timeout_ns, instance.stop_after_ns + EXIT_MARGIN_NS)
 
 
 # Fields of `SupervisionTimeouts` by their names in the parsed settings.
@@ -116,13 +124,13 @@
 
 
 def next_drain_action(now: int, instance: Instance, timeouts: SupervisionTimeouts) -> Action | None:
-    """The action that is due for a draining instance; a kill is due only after the drain timeout."""
+    """The action that is due for a draining instance; a kill is due only after its kill timeout."""
     time_since_drain_sent = now - instance.drain_sent_at
     if instance.is_drain_cancelled:
         return Action.CANCEL_DRAIN if time_since_drain_sent >= CANCEL_DRAIN_RETRY_INTERVAL_NS else None
     if not instance.drain_sent_at:
         return Action.DRAIN if instance.is_drain_cancellable else Action.TERM
-    if instance.kill_after_drain and time_since_drain_sent >= timeouts.drain_timeout_ns:
+    if instance.kill_after_drain and time_since_drain_sent >= timeouts.kill_timeout(instance):
         return Action.KILL
     return None
 
--- a/oakkeel/agent/supervisor.py
+++ b/oakkeel/agent/supervisor.py
@@ -2,7 +2,7 @@
 
 Its caller reports events (`apply_report`, `record_exit`, ...), calls `tick` periodically and executes
 the returned steps. Only the end of its process shows that an instance is down; missing reports do not.
-A process is killed only after it was asked to drain and the drain timeout has expired.
+A process is killed only after it was asked to drain and its time for that (`kill_timeout`) has expired.
 """
 
 from __future__ import annotations
@@ -88,20 +88,25 @@
         if instance.phase is Phase.SERVING and now - instance.phase_since > self.timeouts.steady_after_ns:
             instance.consecutive_crashes = 0
 
-    def record_start(self, now: int, instance: Instance) -> None:
-        """Record that the process of an instance was started."""
+    def record_start(self, now: int, instance: Instance, stop_after_ns: int = 0) -> None:
+        """Record that the process of an instance was started.
+
+        `stop_after_ns` is the time that its configuration gives it from SIGTERM to SIGKILL; 0: unknown.
+        """
         instance.is_spawned = True
+        instance.stop_after_ns = stop_after_ns
         instance.is_changed = True
 
     def record_failed_start(self, now: int, instance: Instance, why: str) -> None:
         """Record that the process of an instance could not be started, which counts as a crash."""
         self.record_exit(now, instance, why)
 
-    def record_adoption(self, now: int, instance: Instance, generation: int) -> None:
-        """Take over a process that was running when the agent started."""
+    def record_adoption(self, now: int, instance: Instance, generation: int, stop_after_ns: int = 0) -> None:
+        """Take over a process that was running when the agent started; see `record_start`."""
         instance.process_generation = generation
         instance.is_spawned = True
         instance.generation = max(instance.generation, generation)
+        instance.stop_after_ns = stop_after_ns
         instance.last_report_at = now  # the silence timeout starts now
         instance.report = None
         if not instance.has_process:
--- a/oakkeel/cli/main.py
+++ b/oakkeel/cli/main.py
@@ -19,6 +19,7 @@
 from oakkeel.cli.inspect import ls, orders, show, watch
 from oakkeel.cli.operate import COMMANDS
 from oakkeel.cli.rollout import rollout
+from oakkeel.cli.settings_check import check_drain_timeout
 from oakkeel.settings.fleet import read_fleet
 from oakkeel.settings.keys import read_agent_keys, read_keys, write_key
 from oakkeel.settings.types import Fleet, SettingsError
@@ -124,6 +125,7 @@
         if keys:
             read_keys(fleet)
             read_agent_keys(fleet)
+        check_drain_timeout(fleet)
     except SettingsError as error:
         fail(str(error))
     _print_settings(file, fleet)
--- a/tests/agent/test_order_handling.py
+++ b/tests/agent/test_order_handling.py
@@ -65,6 +65,28 @@
         self.assertEqual(await self.wait_for_final_states("o1"), {"n1": "superseded"})
         self.assertIn("drain_timeout_killed", self.log_output.getvalue())
 
+    async def test_no_process_is_killed_before_the_time_of_its_own_configuration(self):
+        # Also after the agent was restarted. A node answers until the end of that time (review/6).
+        config_path = self.host.instances[0].config_path
+        with open(config_path, "w", encoding="utf-8") as file:
+            file.write('{"stop_ms": 2500}')
+        self.write_script("n1", "deaf")
+        agent = await self.start_agent()
+        await self.wait_until_serving(agent)
+        process = agent.running_processes[self.instance(agent, "n1")]
+        self.assertEqual(self.instance(agent, "n1").stop_after_ns, 2.5 * SECOND)
+        await self.stop(agent)
+        next_agent = await self.start_agent()
+        await self.wait_until_serving(next_agent)
+        self.assertEqual(self.instance(next_agent, "n1").stop_after_ns, 2.5 * SECOND)
+        await self.submit_order("restart", "n1")
+        await self.wait_until(lambda: self.instance(next_agent, "n1").drain_sent_at)
+        drain_sent_at = self.instance(next_agent, "n1").drain_sent_at
+        await self.wait_until(lambda: not os.path.exists(f"/proc/{process.pid}"))
+        self.assertGreaterEqual(time.monotonic_ns() - drain_sent_at, 2.5 * SECOND)
+        self.write_script("n1", "")
+        self.assertEqual(await self.wait_for_final_states(), {"n1": "done"})
+
     async def test_next_agent_completes_orders_left_open_by_sigterm(self):
         self.write_script("n1", "deaf")
         agent = await self.start_agent()
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -9,6 +9,36 @@
 
 
 class SupervisorTest(HostTestCase):
+    def test_no_instance_is_killed_before_the_time_of_its_own_configuration(self):
+        # The node plans its last answers for that time, also where `drain` is shorter (review/6).
+        host = self.serving_host(drain_timeout_ns=10 * SECOND)
+        instance = host.instances[0]
+        host.ignoring_drain.add(instance)
+        instance.stop_after_ns = 15 * SECOND
+        host.supervisor.order_restart(host.now, instance)
+        host.run(15)
+        self.assertEqual(host.steps, [(Action.TERM, instance)])
+        host.run(1)
+        self.assertEqual(host.steps[1], (Action.KILL, instance))
+
+    def test_an_instance_whose_drain_is_sent_again_to_an_adopted_process_keeps_its_time(self):
+        host = self.serving_host(drain_timeout_ns=10 * SECOND)
+        instance = host.instances[0]
+        host.ignoring_drain.add(instance)
+        host.supervisor.order_restart(host.now, instance)
+        host.run(1)
+        host.supervisor.record_adoption(host.now, instance, instance.process_generation, 15 * SECOND)
+        host.run(15)
+        self.assertEqual(host.steps, [(Action.TERM, instance)] * 2)
+
+    def test_a_drain_by_an_order_gives_the_node_at_least_the_time_of_its_own_configuration(self):
+        host = self.serving_host(drain_timeout_ns=10 * SECOND)
+        timeouts, instance = host.supervisor.timeouts, host.instances[0]
+        self.assertEqual(timeouts.node_drain_timeout(instance), 9 * SECOND)
+        instance.stop_after_ns = 15 * SECOND
+        self.assertEqual(timeouts.node_drain_timeout(instance), 15 * SECOND)
+        self.assertGreater(timeouts.kill_timeout(instance), 15 * SECOND)
+
     def test_limits_processes_that_start_at_the_same_time(self):
         host = SimulatedHost(instance_count=7, max_starting=3)
         self.assertEqual(len(host.tick()), 3)
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -18,6 +18,7 @@
 from oakkeel.fakes.faults import Fault
 from oakkeel.fakes.load_clients import CompliantClient
 from oakkeel.fakes.site import FakeSite, SiteOptions
+from oakkeel.settings.fleet import read_fleet
 from tests.agent.agent_test_case import TIMEOUT_S, AgentTestCase
 
 
@@ -147,6 +148,16 @@
         self.assertEqual(os.stat(path).st_mode & 0o777, 0o600)
         self.assertEqual((await self.run_oakkeel("settings", "key", path))[0], 2)
 
+    async def test_settings_with_a_drain_shorter_than_the_stop_of_a_node_are_rejected_in_one_line(self):
+        # The agent waits for the longer of both; an operator who plans by `drain` would be wrong (review/6).
+        fleet = read_fleet(self.site.settings)
+        path = fleet.hosts[0].instances[0].config_path
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({"stop_ms": 3_600_000}, file)
+        code, out, err = await self.run_oakkeel("settings", "check", self.site.settings)
+        self.assertEqual((code, out, err.count("\n")), (2, "", 1), err)
+        self.assertIn("is shorter than stop_ms=3600000 of instance", err)
+
     async def test_each_command_has_help_with_an_example(self):
         for path, command in iterate_subcommands(main):
             if not isinstance(command, Group):
