Count the age of a shared read from when its answer was surely current

Cause: the age counted from when the node read the end of the run, which may be long after it.

Change: a result that is read while the link catches up counts from the last read before the loss; a reader that came later than that allows is rejected.

--- a/oakkeel/cached_response.py
+++ b/oakkeel/cached_response.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from hashlib import blake2b
 from typing import Protocol
 
@@ -34,10 +33,10 @@
 
     __slots__ = (
         "at_most_once",
+        "current_at",
         "digest",
         "evict_at",
         "expires_at",
-        "finished_at",
         "followers",
         "key",
         "outcome",
@@ -67,7 +66,7 @@
         self.digest = body_digest(body) if self.at_most_once else b""
         self.outcome: Outcome | None = None
         self.result = b""
-        self.finished_at = 0  # nanoseconds of the monotonic clock
+        self.current_at = 0  # time at which the result was surely current, in monotonic nanoseconds
         self.followers: list[Follower] = []
         self.replaced_entry = replaced_entry
 
@@ -78,14 +77,29 @@
         else:
             self.followers.append(request)
 
-    def finish(self, outcome: Outcome, result: bytes) -> None:
-        """Set the outcome, and post it to all followers; only the first call has an effect."""
+    def finish(
+        self, outcome: Outcome, result: bytes, current_at: int = 0, latest_arrival: int | None = None
+    ) -> None:
+        """Set the outcome, and post it to all followers; only the first call has an effect.
+
+        `current_at` is a time at which the result was surely current. A follower that reached the machine
+        after `latest_arrival` is rejected, as the result is too old for it. Both are in nanoseconds of the
+        monotonic clock.
+        """
         if self.outcome is not None:
             return
         self.outcome = outcome
         self.result = result
-        self.finished_at = time.monotonic_ns()
+        self.current_at = current_at
         self.replaced_entry = None
         for request in self.followers:
-            request.post(SharedResponse(outcome, result))
+            is_late = latest_arrival is not None and reached_machine_at(request) > latest_arrival
+            request.post(
+                SharedResponse(Outcome.REJECTED, b"") if is_late else SharedResponse(outcome, result)
+            )
         self.followers.clear()
+
+
+def reached_machine_at(request: Follower) -> int:
+    """Return the time at which a request reached the machine, in nanoseconds of the monotonic clock."""
+    return request.arrived_at - request.queueing_delay
--- a/oakkeel/engine/link.py
+++ b/oakkeel/engine/link.py
@@ -56,12 +56,15 @@
         self.on_engine_started = on_engine_started
         self.stop_kind = stop_kind
         self.identity_checks = IdentityChecks()
-        self.notices = NoticeHandler(log, self.identity_checks, self._on_hello, self._on_gauges)
+        self.notices = NoticeHandler(
+            log, self.identity_checks, self._on_hello, self._on_gauges, self._result_time
+        )
         self.unconfirmed = UnconfirmedCommands(resource_limits)
         self.gauge_requests: dict[bytes, GaugeRequest] = {}  # by tag, the oldest first
         self.tags = count(1)  # numbers of the requests for gauges on this link
         self.process = EngineProcess(resource_limits.engine_restart_margin)
         self.attached_at = 0  # time of the ATTACH on this connection, in monotonic nanoseconds
+        self.last_read_at = 0  # time of the last read while the link was open, in monotonic nanoseconds
         self.reattach_tag = b""  # of the gauges that follow all missed notices
         self.reattach_at = 0  # time at which these gauges were asked for
         self.handover_tag = b""  # of the gauges that end the connection to the earlier address
@@ -114,6 +117,8 @@
             parser = LineParser(read_buffer, WITH_BODY, self.resource_limits.max_tokens)
             while True:
                 await read_buffer.fill(stream)
+                if self.is_open:
+                    self.last_read_at = time.monotonic_ns()
                 for tokens, body in parser.messages():
                     self.notices.handle(tokens, body)
                 await asyncio.sleep(0)  # a peer that sends without pause must not block the event loop
@@ -121,6 +126,13 @@
             stream.close()
             read_buffer.close()
 
+    def _result_time(self) -> int:
+        """Return a time at which the result of a notice that is read now was surely current.
+
+        A notice that was missed while the link was lost may be as old as the last read before the loss.
+        """
+        return time.monotonic_ns() if self.is_open else self.last_read_at
+
     def _close_ungreeted(self, stream: IOStream) -> None:
         self._note_loss("no_greeting")
         stream.close()
--- a/oakkeel/engine/notices.py
+++ b/oakkeel/engine/notices.py
@@ -35,16 +35,19 @@
         identity_checks: IdentityChecks,
         on_hello: Callable[[bytes, int], None],
         on_gauges: Callable[[bytes, list[float]], None],
+        result_time: Callable[[], int],
     ) -> None:
         """Take the callbacks.
 
         `on_hello` receives the state and the age in nanoseconds of each greeting, `on_gauges` the tag and
-        the values.
+        the values. `result_time` returns a time at which the result of a notice that is read now was surely
+        current.
         """
         self.log = log
         self.identity_checks = identity_checks
         self.on_hello = on_hello
         self.on_gauges = on_gauges
+        self.result_time = result_time
         self.runs: dict[bytes, NodeRequest] = {}  # requests in the engine, by request ID
         self.last_number = 0  # of the last notice read
 
@@ -80,7 +83,7 @@
         if request := self.runs.pop(request_id, None):
             request.in_engine = False
             request.may_have_run = outcome is not Outcome.NEVER_STARTED
-            request.post(RunFinished(outcome, result, service_time))
+            request.post(RunFinished(outcome, result, service_time, self.result_time()))
 
     def handle_engine_restart(self, unwritten: Container[NodeRequest]) -> None:
         """Fail all runs except those of the `unwritten` requests: a restarted engine knows no earlier run.
--- a/oakkeel/node/request_handler.py
+++ b/oakkeel/node/request_handler.py
@@ -206,7 +206,7 @@
         if request.unknown_to_engine:
             request.connection.report_violation("request_id_unknown")
         if request.may_have_run:
-            self.response_cache.finish(request, counted_outcome, finished_run.result)
+            self.response_cache.finish(request, counted_outcome, finished_run.result, finished_run.current_at)
         self._answer_run(request, finished_run.outcome, finished_run.result)
 
     def _answer_run(self, request: NodeRequest, outcome: Outcome, result: bytes) -> None:
--- a/oakkeel/node/response_cache.py
+++ b/oakkeel/node/response_cache.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from enum import Enum
 
 from oakkeel.admission.types import Outcome
-from oakkeel.cached_response import CachedResponse, CacheKey, body_digest
+from oakkeel.cached_response import CachedResponse, CacheKey, body_digest, reached_machine_at
 from oakkeel.errors import OakkeelError
 from oakkeel.request import NodeRequest
 from oakkeel.request_events import SharedResponse
@@ -78,7 +79,7 @@
     def _is_stale(self, entry: CachedResponse, now: int) -> bool:
         """Return whether the result of a read is too old to be shared."""
         is_completed_read = not entry.at_most_once and entry.outcome is Outcome.COMPLETED
-        return is_completed_read and now - entry.finished_at > self.read_ttl
+        return is_completed_read and now - entry.current_at > self.read_ttl
 
     def share(self, request: NodeRequest, now: int) -> None:
         """Give a duplicate the response of its original request, at once or when the original finishes.
@@ -138,14 +139,25 @@
     def _move_followers(entry: CachedResponse, previous: CachedResponse) -> None:
         """Move the followers that arrived before `previous` expired: they are duplicates of its request."""
         for follower in entry.followers[:]:
-            if follower.arrived_at - follower.queueing_delay < previous.expires_at:
+            if reached_machine_at(follower) < previous.expires_at:
                 entry.followers.remove(follower)
                 previous.add_follower(follower)
 
-    def finish(self, request: NodeRequest, outcome: Outcome, result: bytes) -> None:
-        """Store the outcome and the result of a request in its entry, if there is one."""
-        if request.cache_entry is not None:
-            request.cache_entry.finish(outcome, result)
+    def finish(
+        self, request: NodeRequest, outcome: Outcome, result: bytes, current_at: int | None = None
+    ) -> None:
+        """Store the outcome and the result of a request in its entry, if there is one.
+
+        `current_at` is a time at which the result was surely current, in nanoseconds of the monotonic clock;
+        None: now.
+        """
+        entry = request.cache_entry
+        if entry is None:
+            return
+        if current_at is None:
+            current_at = time.monotonic_ns()
+        is_completed_read = not entry.at_most_once and outcome is Outcome.COMPLETED
+        entry.finish(outcome, result, current_at, current_at + self.read_ttl if is_completed_read else None)
 
     def _evict_expired(self, now: int) -> None:
         for key in [key for key, entry in self.entries.items() if entry.evict_at <= now]:
--- a/oakkeel/request_events.py
+++ b/oakkeel/request_events.py
@@ -75,6 +75,7 @@
     outcome: Outcome
     result: bytes
     duration: int  # nanoseconds on the cores
+    current_at: int  # a time at which the result was surely current, in nanoseconds of the monotonic clock
 
 
 @dataclass(slots=True)
--- a/tests/node/test_duplicates.py
+++ b/tests/node/test_duplicates.py
@@ -428,6 +428,25 @@
         self.engine.start_reading()
         self.assertEqual(other_dispatcher.next_answer()[1::2], (b"full", b""))
 
+    def test_a_read_gets_no_result_that_may_be_older_than_allowed_after_a_lost_link(self):
+        # The run may have ended right after the loss, and its end is read only after the link is back.
+        self.start_node(settings=self.read_settings(fresh=200 * MS))
+        dispatcher, other_dispatcher = self.dispatcher(), self.dispatcher()
+        first_id = dispatcher.call("card", fields=",subject=s")
+        self.assert_runs(first_id)
+        self.engine.drop_link()
+        self.wait_for_log("engine_link_lost")
+        time.sleep(0.4)
+        other_dispatcher.call("card", fields=",subject=s")
+        self.wait_until_read(other_dispatcher)
+        self.engine.accept_link(answer=False)
+        self.engine.send_line(f"HELLO steady {self.engine.age()}")
+        self.engine.send_done(first_id)
+        self.engine.answers_stat = True
+        self.engine.start_reading()
+        self.assertEqual(dispatcher.next_answer()[1], b"ok")
+        self.assertEqual(other_dispatcher.next_answer()[1::2], (b"full", b""))
+
     def test_a_read_runs_where_no_command_can_check_its_id(self):
         # Its run shows its ID to the engine.
         self.start_node(settings=self.read_settings(halt="silent"))
