Give an order that is sent again under its id the first answer

Callers saw: "that id belongs to another order", once the order had restarted its target.

Cause: the generations were compared, which the order itself changes and the command line reads anew.

Change: the same id, operator, verb and targets are the same order, on a host and on the control plane.

Evidence: the new test was rejected before; the order is not carried out a second time.

--- a/oakkeel/agent/orders.py
+++ b/oakkeel/agent/orders.py
@@ -262,15 +262,25 @@
 
 
 def _check_duplicate(registered_order: Order, submission: OrderSubmission) -> Order:
-    """Return the registered order with the same ID. Raises OrderRejectedError if the submission differs."""
+    """Return the registered order with the same ID. Raises OrderRejectedError if the submission differs.
+
+    Generations may differ: the order itself gives its instances new ones, which its operator reads before
+    sending it again.
+    """
     is_same_command = (
         registered_order.operator == submission.operator and registered_order.verb is submission.verb
     )
-    if not is_same_command or registered_order.requested_instances != submission.requested_instances:
+    if not is_same_command or _names(registered_order.requested_instances) != _names(
+        submission.requested_instances
+    ):
         raise OrderRejectedError(f"that id belongs to another order, by {registered_order.operator}")
     return registered_order
 
 
+def _names(requested_instances: tuple[tuple[str, int], ...]) -> list[str]:
+    return sorted(name for name, _ in requested_instances)
+
+
 def _snapshot_instance(instance: Instance) -> InstanceSnapshot:
     """The fields of an instance that accepting an order changes, for `undo`."""
     task = instance.task
--- a/oakkeel/disruption/order_handlers.py
+++ b/oakkeel/disruption/order_handlers.py
@@ -59,12 +59,16 @@
 
 
 def _is_repeated(existing: DisruptionOrder, command: commands.SubmitOrder) -> bool:
-    """Whether a command submits an existing order again."""
-    generations = {target: task.generation for target, task in existing.tasks.items()}
-    return (existing.operator, existing.verb, generations) == (
+    """Whether a command submits an existing order again.
+
+    Generations may differ: the order itself gives its targets new ones, which its operator reads before
+    sending it again.
+    """
+    targets = {target for target, _ in command.targets}
+    return (existing.operator, existing.verb, set(existing.tasks)) == (
         command.operator,
         command.verb,
-        dict(command.targets),
+        targets,
     )
 
 
--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -102,6 +102,24 @@
             (order.tasks[0].state, instance.phase, host.steps), (HostTaskState.DONE, Phase.STOPPED, [])
         )
 
+    def test_an_order_sent_again_after_its_restart_gets_the_first_answer_and_is_not_carried_out_again(self):
+        # The command line names the generations that it sees, and the restart has changed them.
+        host = self.serving_host()
+        order = host.submit(Verb.RESTART, host.instances[0])
+        host.run(5)
+        self.assertEqual(order.tasks[0].state, HostTaskState.DONE)
+        steps = list(host.steps)
+        self.assertIs(host.submit(Verb.RESTART, host.instances[0]), order)
+        host.run(5)
+        self.assertEqual(host.steps, steps)
+        for verb, instance, operator in (
+            (Verb.STOP, host.instances[0], "asha"),
+            (Verb.RESTART, host.instances[1], "asha"),
+            (Verb.RESTART, host.instances[0], "ravi"),
+        ):
+            with self.assertRaisesRegex(OrderRejectedError, "belongs to another order"):
+                host.submit(verb, instance, operator=operator)
+
     def test_restart_during_a_drain_starts_the_instance_again(self):
         host = self.serving_host()
         instance = host.instances[0]
