Store whether a drain may be cancelled, and send it again as such

Operators saw: after a restart of the agent a drain that could be cancelled was final.

Cause: `is_drain_cancellable` was not stored, so the next agent sent SIGTERM.

Change: it has a table of its own, made where an earlier version's file lacks it.

--- a/oakkeel/agent/agent.py
+++ b/oakkeel/agent/agent.py
@@ -93,6 +93,7 @@
         instances = {
             each.name: Instance(each.name, host.site, phase_since=self.started_at) for each in host.instances
         }
+        self.store.write(ADDED_TABLES)
         is_same_boot = self._record_boot()
         restore_instances(self.store, instances, is_same_boot)
         for instance in instances.values():
@@ -123,7 +124,6 @@
         targets = (*(each.name for each in self.host.instances), *(each.name for each in services))
         incarnation = seed & (1 << INCARNATION_BITS) - 1
         permit_holder = PermitHolder(self.host.name, targets, incarnation)
-        self.store.write(ADDED_TABLES)
         restore_permits(self.store, permit_holder)
         return permit_holder
 
--- a/oakkeel/agent/storage.py
+++ b/oakkeel/agent/storage.py
@@ -44,9 +44,11 @@
     ("CREATE TABLE IF NOT EXISTS reserved (thing TEXT PRIMARY KEY, upto INTEGER)", ()),
     ("CREATE TABLE IF NOT EXISTS fitting (one INTEGER PRIMARY KEY, content BLOB)", ()),
     ("CREATE TABLE IF NOT EXISTS heard (one INTEGER PRIMARY KEY, epoch TEXT)", ()),
+    ("CREATE TABLE IF NOT EXISTS drains (instance TEXT PRIMARY KEY, cancellable INTEGER)", ()),
 ]
 PUT_PERMIT = "INSERT OR REPLACE INTO places VALUES (?,?,?,?)"
 PUT_INSTANCE = "INSERT OR REPLACE INTO instances VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)"
+PUT_DRAIN = "INSERT OR REPLACE INTO drains VALUES (?,?)"
 PUT_ORDER = "INSERT OR IGNORE INTO orders VALUES (NULL,?,?,?,?,?,?)"
 PUT_TASK = "INSERT OR REPLACE INTO parts VALUES (?,?,?,?,?,?,?)"
 
@@ -55,7 +57,10 @@
     instances: Iterable[Instance], orders: Iterable[Order], deleted: Iterable[str]
 ) -> list[Statement]:
     """The statements that write changed instances and orders; `deleted` holds IDs of orders."""
-    statements = [_instance_statement(instance) for instance in instances]
+    statements: list[Statement] = []
+    for instance in instances:
+        statements.append(_instance_statement(instance))
+        statements.append((PUT_DRAIN, (instance.name, instance.is_drain_cancellable)))
     for order in orders:
         statements.append(_order_statement(order))
         statements += [_task_statement(order, task) for task in order.tasks]
@@ -143,6 +148,9 @@
             instance.consecutive_crashes = 0
             instance.restarts_exhausted = False
             instance.crash_times.clear()
+    for name, cancellable in store.read("SELECT instance, cancellable FROM drains"):
+        if name in instances:
+            instances[name].is_drain_cancellable = bool(cancellable)
 
 
 def restore_orders(store: Database, orders: OrderRegistry) -> None:
--- a/tests/agent/test_storage.py
+++ b/tests/agent/test_storage.py
@@ -7,8 +7,15 @@
 from oakkeel.agent.instances import HostTaskState, Instance, Phase, Verb
 from oakkeel.agent.order_rules import OrderSubmission
 from oakkeel.agent.orders import OrderRegistry
-from oakkeel.agent.storage import SCHEMA, VERSION, order_statements, restore_orders
-from oakkeel.agent.supervision_rules import SupervisionTimeouts
+from oakkeel.agent.storage import (
+    ADDED_TABLES,
+    SCHEMA,
+    VERSION,
+    order_statements,
+    restore_instances,
+    restore_orders,
+)
+from oakkeel.agent.supervision_rules import Action, SupervisionTimeouts
 from oakkeel.agent.supervisor import Supervisor
 from oakkeel.store.database import Database
 from oakkeel.units import SECOND
@@ -23,6 +30,24 @@
     return OrderRegistry(supervisor, lambda: 0)
 
 
+class InstanceStorageTest(unittest.TestCase):
+    def test_a_drain_that_may_be_cancelled_is_sent_as_such_by_the_next_agent(self):
+        # Sent again as SIGTERM it could not be cancelled any more.
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        store = Database(os.path.join(folder, "agent.db"), SCHEMA, VERSION)
+        self.addCleanup(store.close)
+        store.write(ADDED_TABLES)
+        for is_cancellable, action in ((True, Action.DRAIN), (False, Action.TERM)):
+            registry, restored_registry = make_registry(), make_registry()
+            instance, restored = registry.instances["n1"], restored_registry.instances["n1"]
+            registry.supervisor.order_stop(SECOND, instance, kill=False, cancellable=is_cancellable)
+            store.write(order_statements([instance], [], []))
+            restore_instances(store, {"n1": restored}, is_same_boot=True)
+            restored_registry.supervisor.record_adoption(SECOND, restored, 3)
+            [step] = restored_registry.supervisor.tick(2 * SECOND)
+            self.assertIs(step.action, action)
+
+
 class OrderStorageTest(unittest.TestCase):
     def test_restores_the_generation_that_a_started_restart_replaces(self):
         folder = self.enterContext(tempfile.TemporaryDirectory())
