Signal new weights only to processes that have reported; look for overdue requests once

Operators saw: SIGHUP of new weights ended a process that had just started.

Change: a process that has not reported is signalled after its first report.

--- a/oakkeel/admission/controller.py
+++ b/oakkeel/admission/controller.py
@@ -21,7 +21,7 @@
 from oakkeel.admission.occupancy import Occupancy
 from oakkeel.admission.overload import OverloadStages, Stage
 from oakkeel.admission.ranking import Ranking
-from oakkeel.admission.request_ends import RequestEnds
+from oakkeel.admission.request_ends import UNANSWERED_STATES, RequestEnds
 from oakkeel.admission.request_queue import RequestQueue
 from oakkeel.admission.request_timers import RequestTimers
 from oakkeel.admission.shedding import SheddingThreshold
@@ -226,14 +226,21 @@
         """Return the nanoseconds after which a rejected client may retry at the present load."""
         return self.node.retry_after()
 
-    def end_overdue(self, now: int, token: int) -> None:
-        """Answer the requests of a timer whose deadline has passed; `timer_expired` may follow later.
+    def overdue_requests(self, now: int, token: int) -> list[Request]:
+        """Return the requests of a timer that have no result and whose deadline has passed."""
+        return [
+            request
+            for request in self.timers.at(token)
+            if request.state in UNANSWERED_STATES and self.timers.is_due(now, request.deadline)
+        ]
+
+    def end_overdue(self, now: int, requests: list[Request]) -> None:
+        """Answer requests whose deadline has passed; `timer_expired` with their token may follow later.
 
         A host calls it where its gauges are not at hand: an answer that is due must not wait for them.
         """
-        for request in self.timers.at(token):
-            if self.timers.is_due(now, request.deadline):
-                self.request_ends.end_without_result(now, request)
+        for request in requests:
+            self.request_ends.end_without_result(now, request)
 
     def timer_expired(self, now: int, token: int, gauges: Gauges) -> None:
         """Poll, or act on the requests whose timers belong to this token."""
--- a/oakkeel/agent/executor.py
+++ b/oakkeel/agent/executor.py
@@ -52,6 +52,7 @@
             self.running_processes, self.processes, supervisor.timeouts, log
         )
         self.pollers: dict[Instance, asyncio.Task[None]] = {}  # tasks that poll the status
+        self.reloads_due: set[Instance] = set()  # instances to signal once their processes have reported
         self.unidentified: set[Instance] = set()  # instances whose lock a process of unknown pid holds
 
     # Steps.
@@ -114,7 +115,10 @@
         if self.launcher.update_fair_sharing(fair_sharing):
             for instance, process in self.running_processes.items():
                 self.launcher.write_node_settings(instance.name)
-                self.processes.signal(process, signal.SIGHUP)
+                if instance.report is not None:
+                    self.processes.signal(process, signal.SIGHUP)
+                else:  # SIGHUP ends a process that does not handle it yet
+                    self.reloads_due.add(instance)
 
     # Processes.
 
@@ -162,6 +166,7 @@
         if instance is None:
             return
         del self.running_processes[instance]
+        self.reloads_due.discard(instance)
         self.pollers.pop(instance).cancel()
         self.log.info(
             "instance_exited",
@@ -199,6 +204,9 @@
             client.close()
             raise ControlError(f"received a report of process {client.pid}, expected {process.pid}")
         self.supervisor.apply_report(time.monotonic_ns(), instance, report.state, report.generation, report)
+        if instance in self.reloads_due:
+            self.reloads_due.discard(instance)
+            self.processes.signal(process, signal.SIGHUP)
 
     def close(self) -> None:
         """Stop polling and watching; the processes continue."""
--- a/oakkeel/node/host.py
+++ b/oakkeel/node/host.py
@@ -144,7 +144,8 @@
         """
         self.metrics.count_timer(time.monotonic_ns() - due_at)
         try:
-            self.notify(self.admission.end_overdue, token)
+            if overdue := self.admission.overdue_requests(time.monotonic_ns(), token):
+                self.notify(self.admission.end_overdue, overdue)
         except Exception as error:  # a defect must not stop the other timers
             self.log.error("timer_failed", error=describe_error(error))
         task = self.loop.create_task(self._read_gauges_and_notify(token))
