--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import socket
 import time
@@ -19,10 +18,11 @@
 from oakkeel.dispatch.array_reader import ArrayReader
 from oakkeel.dispatch.command_handler import CommandHandler, ConnectionOwner
 from oakkeel.dispatch.connection_state import ConnectionLifecycle, ConnectionState
+from oakkeel.dispatch.end_probe import EndProbe
 from oakkeel.dispatch.progress import Progress
-from oakkeel.dispatch.read_turns import ReadTurns
-from oakkeel.dispatch.socket_state import PeerState, discard_received, has_hung_up, has_incoming, peer_state
-from oakkeel.dispatch.timeouts import array_overdue_by, is_write_overdue, read_pause
+from oakkeel.dispatch.read_turns import ConnectionTurns, ReadTurns
+from oakkeel.dispatch.socket_state import discard_received, has_hung_up, has_incoming
+from oakkeel.dispatch.timeouts import array_overdue_by, is_write_overdue
 from oakkeel.log import EventLog
 from oakkeel.request import NodeRequest
 from oakkeel.resource_limits import ResourceLimits
@@ -44,16 +44,13 @@
 
     __slots__ = (
         "_commands",
-        "_granted_turn",
-        "_has_probed_end",
+        "_end_probe",
         "_lifecycle",
         "_log",
         "_observer",
         "_overdue_since",
         "_progress",
         "_resource_limits",
-        "_turn_cpu_time",
-        "_turn_not_before",
         "_turns",
         "_writer",
         "array_reader",
@@ -84,11 +81,8 @@
         )
         self.array_reader = ArrayReader(self.read_buffer, resource_limits, self._commands.handle)
         self._progress = Progress(stream)
-        self._turns = turns
-        self._granted_turn: asyncio.Future[None] | None = None  # ends when the last turn asked for is granted
-        self._has_probed_end = False  # `0 last` was written after the dispatcher had ended its side
-        self._turn_cpu_time = 0  # nanoseconds, of the turns since the last pause
-        self._turn_not_before = time.monotonic_ns()
+        self._turns = ConnectionTurns(turns, resource_limits)
+        self._end_probe = EndProbe(stream, self._writer)
         # Start of the wait for an array that is overdue and incomplete, in monotonic nanoseconds: if the next
         # read does not complete the array, the connection is ended. 0: none is overdue.
         self._overdue_since = 0
@@ -139,7 +133,7 @@
             await self._read()
             # A dispatcher that no longer reads resets the connection at this write.
             self._finish()
-            if self.open_requests and not self._has_probed_end:
+            if self.open_requests and not self._end_probe.has_written:
                 self._writer.write(codec.DRAIN_NOTICE)
             while self.open_requests or self.unsent_bytes:
                 await self._progress.wait(self._resource_limits.half_closed_poll)
@@ -190,26 +184,11 @@
         return time.thread_time_ns() - started_at
 
     async def _wait_for_turn(self) -> None:
-        """Wait for a turn to handle received bytes; raises StreamClosedError if the stream is closed."""
-        if granted := self._turns.request(self._turn_not_before):
-            self._granted_turn = granted
-            await granted
-        if self.stream.closed() or self._has_dispatcher_left():
-            raise StreamClosedError  # what its dispatcher has sent must not run: nobody reads the answers
-
-    def _has_dispatcher_left(self) -> bool:
-        """Return whether the dispatcher has closed the connection, though what it has sent is unread.
-
-        One that has closed both directions looks like one that has only ended its side, until something is
-        written to it.
-        """
-        state = peer_state(self.stream.socket)
-        if state is PeerState.HALF_CLOSED and not self._is_discarding and not self._has_probed_end:
-            self._has_probed_end = True
-            self._writer.write(codec.DRAIN_NOTICE)
-            self._writer.flush()
-            state = PeerState.GONE if self.stream.closed() else peer_state(self.stream.socket)
-        return state is PeerState.GONE and not self._is_discarding
+        """Wait for a turn to handle received bytes; raises StreamClosedError if the dispatcher has left."""
+        await self._turns.wait()
+        # What a dispatcher has sent that reads no more must not run.
+        if self.stream.closed() or (not self._is_discarding and self._end_probe.has_dispatcher_left()):
+            raise StreamClosedError
 
     def _take_turn(self, read_cpu_time: int) -> None:
         """Handle the received arrays, up to the limit of a turn, and set the time of the next turn."""
@@ -217,13 +196,8 @@
         self._parse()
         if self._overdue_since and self._overdue_since == self.array_reader.wait_started_at:
             self._finish()  # the same array is still incomplete: it is trickling in
-        self._turn_cpu_time += read_cpu_time + time.thread_time_ns() - started_at
-        self._turn_not_before = time.monotonic_ns()
-        if not self.array_reader.has_more:
-            self._turn_not_before += read_pause(
-                self._turn_cpu_time, self._is_discarding, self._resource_limits
-            )
-            self._turn_cpu_time = 0
+        cpu_time = read_cpu_time + time.thread_time_ns() - started_at
+        self._turns.finish(cpu_time, self.array_reader.has_more, self._is_discarding)
 
     @property
     def _is_discarding(self) -> bool:
@@ -352,8 +326,7 @@
             self.stream.close()
         self._lifecycle.cancel_timer()
         self._progress.set()
-        if self._granted_turn and not self._granted_turn.done():
-            self._granted_turn.set_result(None)  # the end of the connection needs no turn
+        self._turns.release()
 
     def check_timeouts(self, now: int) -> None:
         """Close the connection if the dispatcher does not read, and end it if an array stays incomplete.
--- a/oakkeel/dispatch/read_turns.py
+++ b/oakkeel/dispatch/read_turns.py
@@ -1,4 +1,7 @@
-"""Turns of connections at the event loop: all connections together take a bounded part of each pass."""
+"""Turns of connections at the event loop: all connections together take a bounded part of each pass.
+
+`ReadTurns` grants turns to all connections, and `ConnectionTurns` asks for those of one connection.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,8 @@
 import time
 from itertools import count
 
+from oakkeel.dispatch.timeouts import read_pause
+from oakkeel.resource_limits import ResourceLimits
 from oakkeel.units import SECOND
 
 
@@ -73,3 +78,39 @@
                 self._turns_in_pass += 1
         if self._turns_in_pass:
             self._schedule_pass()
+
+
+class ConnectionTurns:
+    """The turns of one connection, with a pause after them that grows with their CPU time."""
+
+    __slots__ = ("_cpu_time", "_granted", "_not_before", "_resource_limits", "_turns")
+
+    def __init__(self, turns: ReadTurns, resource_limits: ResourceLimits) -> None:
+        """Allow the first turn from now on."""
+        self._turns = turns
+        self._resource_limits = resource_limits
+        self._cpu_time = 0  # nanoseconds, of the turns since the last pause
+        self._not_before = time.monotonic_ns()
+        self._granted: asyncio.Future[None] | None = None  # ends when the last turn asked for is granted
+
+    async def wait(self) -> None:
+        """Wait for the next turn, or until `release`."""
+        if granted := self._turns.request(self._not_before):
+            self._granted = granted
+            await granted
+
+    def release(self) -> None:
+        """End the wait for a turn, as the connection needs none any more."""
+        if self._granted and not self._granted.done():
+            self._granted.set_result(None)
+
+    def finish(self, cpu_time: int, has_more: bool, is_discarding: bool) -> None:
+        """Note the end of a turn that took `cpu_time` nanoseconds.
+
+        The pause is due once the connection has no more received arrays to handle (`has_more`).
+        """
+        self._cpu_time += cpu_time
+        self._not_before = time.monotonic_ns()
+        if not has_more:
+            self._not_before += read_pause(self._cpu_time, is_discarding, self._resource_limits)
+            self._cpu_time = 0
