Let a leader that steps down on a vote response forget that it led

Cause: the known leader was kept, also where it was the replica itself.

Evidence: the new test got the replica's own name before.

--- a/oakkeel/raft/elections.py
+++ b/oakkeel/raft/elections.py
@@ -139,7 +139,9 @@
         replica = self.replica
         if not response.granted:
             if response.term > replica.term:
-                replica.become_follower(now, response.term, replica.leader)
+                # A leader that steps down must not send its own clients to itself.
+                known_leader = "" if replica.leader == replica.name else replica.leader
+                replica.become_follower(now, response.term, known_leader)
             return
         if not self._belongs_to_election(response):
             return
--- a/tests/raft/test_elections.py
+++ b/tests/raft/test_elections.py
@@ -3,7 +3,7 @@
 import unittest
 
 from oakkeel.raft.elections import VoteDecision, decide_vote
-from oakkeel.raft.messages import EntryKind, Envelope, VoteRequest, encode_members
+from oakkeel.raft.messages import EntryKind, Envelope, VoteRequest, VoteResponse, encode_members
 from oakkeel.raft.proposals import LEASE_EXPIRED_REASON
 from oakkeel.raft.replica import Replica
 from oakkeel.raft.roles import Role
@@ -45,6 +45,15 @@
         cluster.run(2 * SECOND, cluster.has_leader)
         self.assertIsNot(cluster.leader(), leader)
 
+    def test_a_leader_that_steps_down_on_a_late_vote_response_no_longer_names_itself(self):
+        # Its clients and agents would be redirected to it until a new leader is in contact.
+        cluster = Cluster("a", "b", "c")
+        leader = cluster.leader()
+        other = next(replica for replica in cluster.replicas.values() if replica is not leader)
+        response = VoteResponse(leader.term + 1, False, False)
+        leader.receive(cluster.now, Envelope(leader.durable.epoch, other.name, other.incarnation, response))
+        self.assertEqual((leader.role, leader.leader), (Role.FOLLOWER, ""))
+
     def test_leader_without_a_lease_reports_its_expiry_and_a_follower_reports_nothing(self):
         cluster = Cluster("a", "b", "c")
         leader = cluster.leader()
