--- a/oakkeel/rollout/gates.py
+++ b/oakkeel/rollout/gates.py
@@ -149,7 +149,8 @@
     def _observe_latencies(self, window: Window) -> None:
         """Compare the logs of latencies by request class; the new version is worse if they are higher."""
         tests = self.state.latency
-        for request_class in {request_class for _, request_class in window.latencies}:
+        # In the order of the samples: that of a set differs between processes, and with it the sums.
+        for request_class in dict.fromkeys(request_class for _, request_class in window.latencies):
             old = window.latencies.get((Arm.OLD, request_class), Sums())
             new = window.latencies.get((Arm.NEW, request_class), Sums())
             if old.count and new.count:
--- a/tests/rollout/test_gates.py
+++ b/tests/rollout/test_gates.py
@@ -1,5 +1,8 @@
 """The sequential tests and the gates of a release."""
 
+import os
+import subprocess
+import sys
 import unittest
 from random import Random
 
@@ -26,6 +29,42 @@
     gate.record(now, target, arm, ProcessReport(ProcessIdentity(arm.value, generation), age_class, samples))
 
 
+GATE_OF_MANY_CLASSES = """
+import sys
+from oakkeel.rollout.gates import Gate
+from oakkeel.rollout.samples import AgeClass, Arm, ProcessIdentity, ProcessReport, Samples
+from oakkeel.rollout.sequential import Sums
+
+gate = Gate(0, b"", 0.02)
+for round in range(1, 4):
+    for arm in (Arm.OLD, Arm.NEW):
+        sums = [Sums(50.0 * round, -60.1 * k * round, 99.7 * k * round) for k in range(8)]
+        latencies = {f"class{k}": sums[k] for k in range(8)}
+        samples = Samples(Sums(400.0 * round, 390.0 * round, 390.0 * round), latencies=latencies)
+        report = ProcessReport(ProcessIdentity(arm.value, 1), AgeClass.WARM, samples)
+        gate.record(round * 10**9, arm.value, arm, report)
+    gate.evaluate(round * 60 * 10**9)
+print(gate.encode_state().hex(), gate.verdict(1.0))
+"""
+
+
+class HashSeedTest(unittest.TestCase):
+    def test_the_same_samples_give_the_same_state_and_verdict_under_every_hash_seed(self):
+        # The order of a set of names differs between processes: the leader's successor would differ.
+        outputs = {
+            subprocess.run(
+                [sys.executable, "-c", GATE_OF_MANY_CLASSES],
+                env={**os.environ, "PYTHONHASHSEED": seed},
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+            for seed in ("1", "2", "3")
+        }
+        self.assertEqual(len(outputs), 1)
+        self.assertGreater(len(outputs.pop()), 100)
+
+
 class SequentialStatisticsTest(unittest.TestCase):
     def halts(self, seed: int, old_rate: float, new_rate: float, windows: int = 300) -> bool:
         """Return whether versions with these success rates halt a release within a number of windows."""
