--- a/oakkeel/resource_limits.py
+++ b/oakkeel/resource_limits.py
@@ -44,6 +44,7 @@
     socket_events_per_pass: int = 16
     turns_per_pass: int = 4  # each handles the input of one connection
     arrays_per_turn: int = 8
+    new_connection_cost: int = MS  # CPU time that a new connection counts as having used
     accepts_per_pass: int = 16
     accepts_when_saturated: int = 2  # while open connections have more to read than one pass handles
     accept_time_per_pass: int = 2 * MS  # CPU time
