Close a connection without an error as the end of its input is read

Seen by reading: a connection that is shut down and that a later one closes, between the read of its end and the next step of its task, ended with an AttributeError in the log (`connection_failed`), as a closed stream has no socket.

Change: the state of the stream is checked before each turn, also where nothing was received.

Evidence: the new test logged the error before.

--- a/oakkeel/dispatch/connection.py
+++ b/oakkeel/dispatch/connection.py
@@ -165,7 +165,8 @@
                     self._reject_stream(error)
                     continue
             if self.read_buffer.has_data:
-                await self._wait_for_turn()
+                await self._turns.wait()
+            self._check_dispatcher()
             self._take_turn(read_cpu_time)
             if self.stream.at_eof and not self.array_reader.has_more:
                 return
@@ -183,11 +184,15 @@
             return 0  # other tasks ran meanwhile
         return time.thread_time_ns() - started_at
 
-    async def _wait_for_turn(self) -> None:
-        """Wait for a turn to handle received bytes; raises StreamClosedError if the dispatcher has left."""
-        await self._turns.wait()
-        # What a dispatcher has sent that reads no more must not run.
-        if self.stream.closed() or (not self._is_discarding and self._end_probe.has_dispatcher_left()):
+    def _check_dispatcher(self) -> None:
+        """Raise StreamClosedError if the connection was closed, or its dispatcher reads no more.
+
+        What such a dispatcher has sent must not run.
+        """
+        if self.stream.closed():
+            raise StreamClosedError
+        has_input = self.read_buffer.has_data and not self._is_discarding
+        if has_input and self._end_probe.has_dispatcher_left():
             raise StreamClosedError
 
     def _take_turn(self, read_cpu_time: int) -> None:
--- a/tests/dispatch/test_closing.py
+++ b/tests/dispatch/test_closing.py
@@ -4,8 +4,10 @@
 import gc
 import socket
 import weakref
+from unittest import mock
 
 from oakkeel.dispatch.connection_state import ConnectionState
+from oakkeel.stream_buffers import ReadBuffer
 from oakkeel.units import SECOND
 from tests.dispatch.listener_case import (
     DRAIN_NOTICE,
@@ -38,6 +40,25 @@
         connection._on_drain_timeout(SECOND)
         self.assertEqual((await client.read_to_end())[-1], [b"2", b"ok", b"", b"result"])
 
+    async def test_a_connection_that_is_closed_as_the_end_of_its_input_is_read_ends_without_an_error(self):
+        # In a flood, later connections close one whose read has ended and whose task has not resumed yet.
+        client, connection = await self.idle_client()
+        connection.finish()
+        await self.wait_until(lambda: connection.state is ConnectionState.LINGERING)
+
+        async def close_and_end(stream):
+            connection.close()
+            stream.at_eof = True
+            return False
+
+        with (
+            mock.patch.object(self.listener.log, "error") as log_error,
+            mock.patch.object(ReadBuffer, "fill", lambda _, stream: close_and_end(stream)),
+        ):
+            client.send(b"x")  # wakes the task from its present read
+            await self.wait_until(lambda: connection not in self.listener.connections)
+        log_error.assert_not_called()
+
     async def test_an_incomplete_request_keeps_the_connection_open(self):
         client, connection = await self.idle_client()
         connection.drain()
