--- a/tests/invariants/test_node_soak.py
+++ b/tests/invariants/test_node_soak.py
@@ -23,6 +23,7 @@
     grace_s=1.0,
     stop_s=2.0,
     dispatchers=1,
+    memory_mb=64,
     requests=(),
     disruptions=(),
 )
@@ -146,14 +147,15 @@
             events = (term, written("a", time=time), *run("a", time + 0.1), answered("a", time=time + 0.3))
             self.assertEqual(self.breaches(*events), expected)
 
-    def test_finds_a_node_that_does_not_end_or_logs_a_defect(self):
+    def test_finds_a_node_that_does_not_end_logs_a_defect_or_takes_too_much_memory(self):
         for event, rule in (
             (record.NodeExited(START, None), "drain"),
             (record.NodeExited(START, 1), "drain"),
             (record.NodeLogged(START, "Traceback"), "defect"),
+            (record.NodeMeasured(START, 64.1), "memory"),
         ):
             self.assertEqual(self.breaches(event), [(rule, "")])
-        self.assertEqual(self.breaches(record.NodeExited(START, 0)), [])
+        self.assertEqual(self.breaches(record.NodeExited(START, 0), record.NodeMeasured(START, 64.0)), [])
 
     def test_finds_a_bad_client_that_is_served_or_left_alone(self):
         connected = record.BadClientConnected(START, "c", "unknown ID")
